Lay out the workspace and a thin core

Ruled out: one owner per replica. A request would then need places from two owners (prefill and decode), six messages instead of three, and decode memory would idle while the prefill waits at another host. Replicas of a service are grouped into shards with one owner, so that a prefill place and decode memory are one decision in one process.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# The two commands for a newcomer are `make demo` and `make test`.
+PYTHON ?= python3
+VENV ?= $(CURDIR)/.venv
+PY = $(VENV)/bin/python
+SOURCES = packages standins tests
+
+export PYTHONPATH := $(CURDIR)/packages/hemlockreel:$(CURDIR)/packages/hemlockreel-daemon:$(CURDIR)/packages/hemlockreel-ctl:$(CURDIR)/standins
+
+.PHONY: install lint format unit test demo measure slopes
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: constraints.txt packages/*/pyproject.toml standins/pyproject.toml
+	test -x $(PY) || $(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install -q -c constraints.txt \
+	    -e packages/hemlockreel -e packages/hemlockreel-daemon \
+	    -e packages/hemlockreel-ctl -e 'standins[test]'
+	touch $@
+
+format: install
+	$(VENV)/bin/ruff format $(SOURCES)
+
+lint: install
+	$(VENV)/bin/ruff format --check $(SOURCES)
+	$(VENV)/bin/ruff check $(SOURCES)
+	$(VENV)/bin/flake8 $(SOURCES)
+
+unit: install
+	$(PY) -m pytest
+
+test: lint unit
+
+demo: install
+	$(PY) -m hemlockreel_standins.demo $(ARGS)
+
+measure: install
+	$(PY) -m hemlockreel_standins.measure $(ARGS)
+
+slopes: install
+	$(PY) -m hemlockreel_standins.slopes $(ARGS)
--- /dev/null
+++ b/packages/hemlockreel-ctl/hemlockreel_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for operators."""
--- /dev/null
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: listeners, loop and clients of the outside systems."""
--- /dev/null
+++ b/packages/hemlockreel/hemlockreel/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions and shared types of hemlockreel, free of any input/output."""
--- /dev/null
+++ b/packages/hemlockreel/hemlockreel/call_ledger.py
@@ -0,0 +1,61 @@
+"""Places at the replicas of one plain shard."""
+
+from collections.abc import Iterable
+
+from . import decisions
+from . import messages
+from . import outcomes
+from . import replicas
+
+RETRY_AFTER_S = 1.0
+
+
+class CallLedger:
+    """Counts the calls at each replica and picks the least loaded one.
+
+    It has the same methods as :class:`hemlockreel.ledger.Ledger`, as far as
+    plain calls need them.
+    """
+
+    def __init__(self, max_in_flight: int):
+        self.max_in_flight = max_in_flight
+        self.replicas: dict[str, replicas.Replica] = {}
+        self.places: dict[int, str] = {}
+
+    def set_replicas(self, members: Iterable[replicas.Replica]) -> None:
+        """Takes over the live and leaving replicas of the shard."""
+        self.replicas = {replica.address: replica for replica in members}
+
+    def submit(
+        self, ask: messages.Ask, grant_id: int, now: float
+    ) -> list[decisions.Decision]:
+        """Grants or denies ``ask`` at once."""
+        usable = [
+            replica.address
+            for replica in self.replicas.values()
+            if not replica.leaving and replica.address not in ask.exclude
+        ]
+        best = min(usable, key=self._count, default=None)
+        if best is None:
+            reason = outcomes.Reason.NO_BACKEND
+            return [decisions.Denied(ask, reason, RETRY_AFTER_S)]
+        if self._count(best) >= self.max_in_flight:
+            reason = outcomes.Reason.OVERLOADED
+            return [decisions.Denied(ask, reason, RETRY_AFTER_S)]
+        self.places[grant_id] = best
+        return [decisions.Granted(ask, grant_id, best)]
+
+    def withdraw(self, request_id: str, attempt: int) -> None:
+        """Does nothing: plain calls do not wait."""
+
+    def release(self, grant_id: int, now: float) -> None:
+        """Frees the place of a grant."""
+        self.places.pop(grant_id, None)
+
+    def decide(self, now: float) -> list[decisions.Decision]:
+        """Returns nothing: plain calls do not wait."""
+        return []
+
+    def _count(self, address: str) -> int:
+        """Returns the calls in flight at ``address``."""
+        return sum(held == address for held in self.places.values())
--- /dev/null
+++ b/packages/hemlockreel/hemlockreel/events.py
@@ -0,0 +1,126 @@
+"""What happens to the core: inputs of :func:`hemlockreel.core.step`.
+
+Messages of peers (:mod:`hemlockreel.messages`) are events too.
+"""
+
+from typing import Any
+from typing import NamedTuple
+
+from . import outcomes
+from . import replicas
+
+
+class Tick(NamedTuple):
+    """Time has passed; sent every 100 ms or so."""
+
+
+class GenerationAsked(NamedTuple):
+    """A caller wants a completion.
+
+    ``organisation`` may be empty. ``max_tokens`` of 0 takes the pool's most.
+    ``excluded`` names replicas that failed this request before.
+    """
+
+    request_id: str
+    attempt: int
+    model: str
+    organisation: str
+    klass: str
+    prompt_tokens: int
+    max_tokens: int
+    prefixes: tuple[int, ...]
+    deadline_s: float
+    excluded: tuple[str, ...] = ()
+    traceparent: str = ""
+
+
+class CallAsked(NamedTuple):
+    """A caller wants a plain call to ``service``."""
+
+    request_id: str
+    attempt: int
+    service: str
+    organisation: str
+    deadline_s: float
+    excluded: tuple[str, ...] = ()
+    traceparent: str = ""
+
+
+class PrefillEnded(NamedTuple):
+    """The worker of a request has its prefill result."""
+
+    request_id: str
+    cached_tokens: int
+
+
+class FirstTokenCame(NamedTuple):
+    """The worker of a request has its first token."""
+
+    request_id: str
+
+
+class RequestEnded(NamedTuple):
+    """The worker of a request is done with its grant, or gives up waiting.
+
+    See :class:`hemlockreel.messages.Release` for ``clean`` and ``failed``.
+    """
+
+    request_id: str
+    attempt: int
+    clean: bool
+    failed: bool = False
+    output_tokens: int = 0
+
+
+class ClaimAsked(NamedTuple):
+    """A caller wants a non-idempotent call with an idempotency key.
+
+    ``fingerprint`` is the hash of method, path and body.
+    """
+
+    request_id: str
+    attempt: int
+    organisation: str
+    key: str
+    fingerprint: str
+
+
+class ClaimEnded(NamedTuple):
+    """The outcome of a claimed call, to be recorded for repeats."""
+
+    request_id: str
+    outcome: outcomes.Answered | outcomes.Refused
+
+
+class DrainAsked(NamedTuple):
+    """The daemon was told to stop gracefully."""
+
+
+class HostsListed(NamedTuple):
+    """The platform's host list was read; ``None`` when the read failed."""
+
+    hosts: tuple[replicas.Replica, ...] | None
+    entries: tuple[str, ...] = ()
+
+
+class StoreAnswered(NamedTuple):
+    """The store's answer to the call ``call_id``.
+
+    ``status`` is the HTTP status, or 0 when no answer came: the write may
+    have taken effect.
+    """
+
+    call_id: str
+    status: int
+    body: dict[str, Any]
+    retry_after_s: float = 0.0
+
+
+class EngineAnswered(NamedTuple):
+    """An engine's answer to the call ``call_id``; 0 when none came."""
+
+    call_id: str
+    address: str
+    operation: str
+    status: int
+    body: dict[str, Any]
--- /dev/null
+++ b/packages/hemlockreel/hemlockreel/messages.py
@@ -0,0 +1,261 @@
+"""Messages between daemons.
+
+They are :class:`msgspec.Struct` rather than ``NamedTuple``, since the codec
+needs a tagged union to tell them apart on the wire. ``sender`` is the peer
+address (``IP:PORT``) of the sending daemon, ``epoch`` tells two runs at the
+same address apart.
+"""
+
+import msgspec
+
+
+class Message(
+    msgspec.Struct, frozen=True, array_like=True, tag=True, kw_only=True
+):
+    """What each message carries."""
+
+    sender: str
+    epoch: int
+
+
+# Membership
+
+
+class MemberUpdate(msgspec.Struct, frozen=True, array_like=True):
+    """What one daemon believes of another.
+
+    ``state`` is ``alive``, ``suspect``, ``dead`` or ``left``; ``draining``
+    members are alive but take no new callers.
+    """
+
+    host: str
+    zone: str
+    region: str
+    callers: str
+    epoch: int
+    incarnation: int
+    state: str
+    draining: bool = False
+    configuration: int = 0
+
+
+class Ping(Message):
+    """Asks for an :class:`Ack`; ``updates`` ride along."""
+
+    seq: int
+    updates: list[MemberUpdate] = []
+
+
+class PingRequest(Message):
+    """Asks the receiver to ping ``target`` for the sender."""
+
+    seq: int
+    target: str
+    updates: list[MemberUpdate] = []
+
+
+class Ack(Message):
+    """Answers a :class:`Ping`, directly or through a third daemon."""
+
+    seq: int
+    target: str
+    updates: list[MemberUpdate] = []
+
+
+class SyncRequest(Message):
+    """Asks for the whole member table, sent when joining."""
+
+    updates: list[MemberUpdate] = []
+
+
+class Sync(Message):
+    """The whole member table of the sender."""
+
+    updates: list[MemberUpdate] = []
+
+
+# Configuration
+
+
+class ConfigurationOffer(Message):
+    """Tells a peer which accepted generation the sender has in force."""
+
+    generation: int
+
+
+class ConfigurationRequest(Message):
+    """Asks a peer for its accepted configuration above ``above``."""
+
+    above: int
+
+
+class ConfigurationUpdate(Message):
+    """An accepted configuration as JSON bytes."""
+
+    generation: int
+    body: bytes
+
+
+# Requests
+
+
+class Ask(Message):
+    """Asks the owner of ``shard`` for a place at its replicas.
+
+    ``deadline_s`` is the time left until the first token must be there;
+    ``klass`` is ``interactive`` or ``deferrable``. For a plain call
+    the token counts are 0 and ``model`` is empty. ``exclude`` names replicas
+    that failed this request before.
+    """
+
+    request_id: str
+    attempt: int
+    shard: str
+    organisation: str
+    model: str = ""
+    klass: str = "interactive"
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    prefixes: list[int] = []
+    deadline_s: float = 0.0
+    weight: float = 1.0
+    exclude: list[str] = []
+    traceparent: str = ""
+
+
+class Grant(Message):
+    """A place at one or two replicas, held until its release.
+
+    ``prefill`` is empty for a plain call. ``list_age_s`` is the age of the
+    owner's view of the host list.
+    """
+
+    request_id: str
+    attempt: int
+    grant_id: int
+    replica: str
+    prefill: str = ""
+    list_age_s: float = 0.0
+
+
+class Refusal(Message):
+    """The owner has no place; ``reason`` is a ``Reason`` value."""
+
+    request_id: str
+    attempt: int
+    reason: str
+    retry_after_s: float
+
+
+class Queued(Message):
+    """The owner has the ask and will answer it later.
+
+    The entry repeats its ask while it waits, so that an owner that restarts
+    learns of it, and an ask that is not repeated lapses.
+    """
+
+    request_id: str
+    attempt: int
+
+
+class Withdraw(Message):
+    """The entry no longer wants a place that it asked for."""
+
+    request_id: str
+    attempt: int
+
+
+class Prefilled(Message):
+    """The prefill of a grant has ended, so its prefill place is free."""
+
+    grant_id: int
+    cached_tokens: int = 0
+
+
+class FirstToken(Message):
+    """The first token of a grant has come."""
+
+    grant_id: int
+
+
+class Release(Message):
+    """The entry is done with a grant.
+
+    ``clean`` says that the backend server itself ended the request, so that
+    nothing has to be cancelled. ``failed`` says that the replica did not do
+    its part.
+    """
+
+    grant_id: int
+    request_id: str
+    clean: bool
+    failed: bool = False
+    output_tokens: int = 0
+
+
+class Heartbeat(Message):
+    """Keeps the grants of an entry at an owner.
+
+    ``count`` and ``digest`` (xor of the grant ids' hashes) stand for the set
+    of grants, so that the size does not grow with it.
+    """
+
+    count: int
+    digest: int
+
+
+class HeartbeatMismatch(Message):
+    """The owner's grants differ; asks for a :class:`GrantList`."""
+
+    count: int
+
+
+class GrantList(Message):
+    """All grants that an entry holds from the receiver."""
+
+    grant_ids: list[int]
+
+
+class Revoked(Message):
+    """Grants that the owner has taken back; they never come alive again."""
+
+    grant_ids: list[int]
+
+
+AnyMessage = (
+    Ping
+    | PingRequest
+    | Ack
+    | SyncRequest
+    | Sync
+    | ConfigurationOffer
+    | ConfigurationRequest
+    | ConfigurationUpdate
+    | Ask
+    | Grant
+    | Refusal
+    | Queued
+    | Withdraw
+    | Prefilled
+    | FirstToken
+    | Release
+    | Heartbeat
+    | HeartbeatMismatch
+    | GrantList
+    | Revoked
+)
+
+_decoder = msgspec.msgpack.Decoder(AnyMessage)
+
+
+def encode(message: Message) -> bytes:
+    """Returns the bytes of ``message``."""
+    return msgspec.msgpack.encode(message)
+
+
+def decode(data: bytes) -> Message | None:
+    """Returns the message in ``data``, or ``None`` if it is none."""
+    try:
+        return _decoder.decode(data)
+    except (msgspec.DecodeError, msgspec.ValidationError):
+        return None
--- /dev/null
+++ b/standins/hemlockreel_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the outside systems, for tests and the demo."""
