Let a second work tree use an installed environment

Cause: make install in another work tree would point the editable packages of a shared environment at that tree. Ruled out: an environment per tree, which costs an installation each. Change: VENV given by the caller is used as it is.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,13 @@
 
 .PHONY: install lint format unit test demo measure slopes
 
+# A virtual environment named by VENV is used as it is.
+ifeq ($(origin VENV),file)
 install: $(VENV)/.installed
+else
+install:
+	test -x $(PY)
+endif
 
 $(VENV)/.installed: constraints.txt packages/*/pyproject.toml standins/pyproject.toml
 	test -x $(PY) || $(PYTHON) -m venv $(VENV)
