--- /dev/null
+++ b/standins/hemlockreel_standins/helper.py
@@ -0,0 +1,53 @@
+"""What the tests of all packages share."""
+
+import random
+from typing import Any
+
+from hemlockreel import actions
+from hemlockreel import board
+from hemlockreel import core
+from hemlockreel import events
+from hemlockreel import replicas
+
+HOST = "127.0.0.1:9000"
+REGION = "midt-norge"
+ZONE = "trondheim-a"
+
+
+def make_board(host: str = HOST, zone: str = ZONE, seed: int = 1):
+    """Returns an empty board of the daemon ``host``."""
+    identity = board.Identity(host, host, zone, REGION, 7)
+    return board.Board(identity, (), random.Random(seed))
+
+
+def listed(*roles: replicas.Role, service: str = "lesar", first_port=9100):
+    """Returns a host list with one replica per role."""
+    hosts = tuple(
+        replicas.Replica(
+            f"127.0.0.1:{first_port + index}", service, ZONE, REGION, role
+        )
+        for index, role in enumerate(roles)
+    )
+    return events.HostsListed(hosts)
+
+
+def run(made: board.Board, event: Any, now: float) -> list[actions.Action]:
+    """Steps, and hands messages to the own host back until none is left.
+
+    Returns all other actions.
+    """
+    rest = [event]
+    seen = []
+    while rest:
+        for action in core.step(made, rest.pop(0), now):
+            own = made.identity.host
+            if isinstance(action, actions.Send) and action.to == own:
+                rest.append(action.message)
+            else:
+                seen.append(action)
+    return seen
+
+
+def of_type(found: list[Any], kind: type) -> list[Any]:
+    """Returns the actions of type ``kind``."""
+    return [action for action in found if isinstance(action, kind)]
