Add the daemon: listeners, loop, clients and workers

Cause: the core had no process around it. Ruled out: pooled connections to backend servers; an answer that comes late could reach another request, and a connection that was forgotten on the way would be used again. A connection per call costs one round trip. Change: three listeners, one loop on one thread, workers that carry completions and plain calls, traces and metrics.

--- /dev/null
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/answers.py
@@ -0,0 +1,59 @@
+"""Refusals as the callers' interface shows them."""
+
+import json
+import math
+from typing import Any
+
+import cherrypy
+
+from hemlockreel import outcomes
+
+STATUS = {
+    outcomes.Reason.BAD_REQUEST: 400,
+    outcomes.Reason.UNKNOWN_MODEL: 404,
+    outcomes.Reason.UNKNOWN_ROUTE: 404,
+    outcomes.Reason.PROMPT_TOO_LONG: 413,
+    outcomes.Reason.KEY_REQUIRED: 400,
+    outcomes.Reason.KEY_REUSED: 422,
+    outcomes.Reason.IN_PROGRESS: 409,
+    outcomes.Reason.QUOTA: 429,
+    outcomes.Reason.BACKEND_REFUSED: 502,
+    outcomes.Reason.BACKEND_FAILED: 502,
+    outcomes.Reason.BACKEND_SILENT: 504,
+    outcomes.Reason.REVOKED: 502,
+}
+UNAVAILABLE = 503  # all other reasons
+
+
+def describe(refused: outcomes.Refused, request_id: str) -> dict[str, Any]:
+    """Returns the body of a refusal."""
+    error: dict[str, Any] = {
+        "reason": refused.reason.value,
+        "ran": refused.ran.value,
+        "message": refused.detail or refused.reason.value.replace("_", " "),
+        "request_id": request_id,
+    }
+    if refused.retry_after_s is not None:
+        error["retry_after_s"] = round(refused.retry_after_s, 3)
+    return {"error": error}
+
+
+def refuse(
+    refused: outcomes.Refused, request_id: str, status: int | None = None
+) -> bytes:
+    """Sets the status and headers of a refusal and returns its body."""
+    response = cherrypy.response
+    response.status = status or STATUS.get(refused.reason, UNAVAILABLE)
+    if refused.retry_after_s is not None:
+        seconds = max(1, math.ceil(refused.retry_after_s))
+        response.headers["Retry-After"] = str(seconds)
+    return send_json(describe(refused, request_id), request_id)
+
+
+def send_json(value: Any, request_id: str = "") -> bytes:
+    """Sets the headers of a JSON answer and returns its body."""
+    response = cherrypy.response
+    response.headers["Content-Type"] = "application/json"
+    if request_id:
+        response.headers["X-Request-Id"] = request_id
+    return json.dumps(value).encode() + b"\n"
--- /dev/null
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/daemon.py
@@ -0,0 +1,157 @@
+"""One running daemon: the loop, its clients and its workers' tools."""
+
+from concurrent import futures
+import functools
+import os
+import random
+import threading
+from typing import Any
+import uuid
+
+from hemlockreel import actions
+from hemlockreel import board as boards
+
+from . import engine_client
+from . import hostlist_client
+from . import logs
+from . import loop
+from . import mailbox
+from . import metrics
+from . import peers
+from . import settings
+from . import store_client
+from . import traces
+
+ENGINE_CALLERS = 8  # threads for calls of the control path to engines
+STORE_CALLERS = 4
+
+
+class Daemon:
+    """Everything that the threads of one daemon share."""
+
+    def __init__(self, found: settings.Settings):
+        self.settings = found
+        epoch = int.from_bytes(os.urandom(4), "big") >> 1
+        identity = boards.Identity(
+            host=found.listen.peers,
+            callers=found.listen.callers,
+            zone=found.zone,
+            region=found.region,
+            epoch=epoch,
+        )
+        rng = random.Random(epoch)
+        self.board = boards.Board(identity, found.seeds, rng)
+        self.metrics = metrics.Metrics()
+        self.traces = traces.Traces(identity.host)
+        self.mailboxes = mailbox.Mailboxes()
+        self.loop = loop.Loop(self.board, self._perform)
+        self.exiting = threading.Event()
+        self._peers = peers.Peers(found.listen.peers, self.metrics)
+        self._engines = futures.ThreadPoolExecutor(ENGINE_CALLERS, "engines")
+        self._stores = futures.ThreadPoolExecutor(STORE_CALLERS, "store")
+        self._lists = futures.ThreadPoolExecutor(1, "hosts")
+
+    def start(self) -> None:
+        """Starts the loop and the messages of peers."""
+        self._peers.start(self.loop.post)
+        self.loop.start()
+
+    def stop(self) -> None:
+        """Ends the loop and closes the sockets."""
+        self.loop.stop()
+        for pool in (self._engines, self._stores, self._lists):
+            pool.shutdown(wait=False, cancel_futures=True)
+        self._peers.close()
+
+    def new_id(self) -> str:
+        """Returns a request id that no other request has."""
+        return uuid.uuid4().hex
+
+    def _perform(self, action: actions.Action) -> None:
+        """Does what the core wants; runs on the loop's thread."""
+        perform(action, self)
+
+    def send(self, action: actions.Send) -> None:
+        """Sends a message, to itself through the loop."""
+        if action.to == self.board.identity.host:
+            self.loop.post(action.message)
+        else:
+            self._peers.send(action.to, action.message)
+
+    def call_store(self, action: actions.CallStore) -> None:
+        """Calls the store on a thread of its own."""
+        self._stores.submit(
+            lambda: self.loop.post(
+                store_client.call(self.settings.store, action)
+            )
+        )
+
+    def call_engine(self, action: actions.CallEngine) -> None:
+        """Calls an engine on a thread of its own."""
+        self._engines.submit(
+            lambda: self.loop.post(engine_client.control(action))
+        )
+
+    def list_hosts(self, action: actions.ListHosts) -> None:
+        """Reads the host list on a thread of its own."""
+        self._lists.submit(
+            lambda: self.loop.post(
+                hostlist_client.read(self.settings.host_list, action)
+            )
+        )
+
+
+@functools.singledispatch
+def perform(action: Any, daemon: Daemon) -> None:
+    """Does one action of the core."""
+    raise TypeError(f"no such action: {action!r}")
+
+
+@perform.register
+def _send(action: actions.Send, daemon: Daemon) -> None:
+    daemon.send(action)
+
+
+@perform.register
+def _tell(action: actions.Tell, daemon: Daemon) -> None:
+    daemon.mailboxes.tell(action.request_id, action.value)
+
+
+@perform.register
+def _call_store(action: actions.CallStore, daemon: Daemon) -> None:
+    daemon.call_store(action)
+
+
+@perform.register
+def _list_hosts(action: actions.ListHosts, daemon: Daemon) -> None:
+    daemon.list_hosts(action)
+
+
+@perform.register
+def _call_engine(action: actions.CallEngine, daemon: Daemon) -> None:
+    daemon.call_engine(action)
+
+
+@perform.register
+def _count(action: actions.Count, daemon: Daemon) -> None:
+    daemon.metrics.count(action.name, action.amount, action.labels)
+
+
+@perform.register
+def _log(action: actions.Log, daemon: Daemon) -> None:
+    logs.write(action.event, action.fields)
+
+
+@perform.register
+def _span(action: actions.Span, daemon: Daemon) -> None:
+    daemon.traces.record(
+        action.name,
+        action.traceparent,
+        action.end_s - action.start_s,
+        action.attributes,
+    )
+
+
+@perform.register
+def _exit(action: actions.Exit, daemon: Daemon) -> None:
+    daemon.exiting.set()
--- /dev/null
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/loop.py
@@ -0,0 +1,89 @@
+"""The one loop, on one thread, that owns the board."""
+
+from collections.abc import Callable
+import queue
+import threading
+import time
+from typing import Any
+
+from hemlockreel import actions
+from hemlockreel import board as boards
+from hemlockreel import configuration
+from hemlockreel import core
+from hemlockreel import drain
+from hemlockreel import events
+
+TICK_S = 0.1
+
+
+class Loop:
+    """Steps the core with one event after the other.
+
+    ``configuration`` and ``closed`` are the only parts of the board that
+    other threads read; both are replaced as a whole after each step.
+    """
+
+    def __init__(
+        self,
+        board: boards.Board,
+        perform: Callable[[actions.Action], None],
+    ):
+        self._board = board
+        self._perform = perform
+        self._events: queue.SimpleQueue = queue.SimpleQueue()
+        self._stopping = False
+        self._thread = threading.Thread(
+            target=self._run, name="loop", daemon=True
+        )
+        self.configuration: configuration.Configuration | None = None
+        self.closed = False
+
+    def post(self, event: Any) -> None:
+        """Hands an event to the loop; called from any thread."""
+        self._events.put(event)
+
+    def start(self) -> None:
+        """Starts the loop's thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ends the loop after the event at hand."""
+        self._stopping = True
+
+    def ask(self, question: Callable[[boards.Board], Any]) -> Any:
+        """Returns ``question(board)``, computed on the loop's thread."""
+        answers: queue.SimpleQueue = queue.SimpleQueue()
+        self.post(_Question(question, answers))
+        return answers.get(timeout=5.0)
+
+    def _run(self) -> None:
+        next_tick = time.monotonic()
+        while not self._stopping:
+            wait = next_tick - time.monotonic()
+            try:
+                event = self._events.get(timeout=max(wait, 0.0))
+            except queue.Empty:
+                event = events.Tick()
+                next_tick = time.monotonic() + TICK_S
+            if isinstance(event, _Question):
+                event.answers.put(event.question(self._board))
+                continue
+            self._step(event)
+            if time.monotonic() >= next_tick:
+                self._step(events.Tick())
+                next_tick = time.monotonic() + TICK_S
+
+    def _step(self, event: Any) -> None:
+        now = time.monotonic()
+        for action in core.step(self._board, event, now):
+            self._perform(action)
+        self.configuration = configuration.current(self._board)
+        self.closed = drain.closed(self._board, now)
+
+
+class _Question:
+    """A question of another thread about the board."""
+
+    def __init__(self, question, answers):
+        self.question = question
+        self.answers = answers
--- /dev/null
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/main.py
@@ -0,0 +1,106 @@
+"""The command line of `hemlockreeld`."""
+
+import argparse
+from importlib import metadata
+import signal
+import sys
+import threading
+import time
+
+from hemlockreel import events
+
+from . import callers
+from . import daemon as daemons
+from . import logs
+from . import operators
+from . import servers
+from . import settings
+
+OPERATOR_THREADS = 4
+SPARE_THREADS = 16  # answer refusals while all others carry requests
+THREAD_STACK_BYTES = 256 * 1024
+LAST_ANSWERS_S = 2.0  # for answers that are still on their way at the end
+
+
+def parse_arguments(arguments: list[str] | None) -> argparse.Namespace:
+    """Returns the options of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="hemlockreeld", description="The hemlockreel daemon."
+    )
+    parser.add_argument("--config", metavar="FILE", help="the settings")
+    parser.add_argument(
+        "--check",
+        action="store_true",
+        help="check the settings and exit",
+    )
+    parser.add_argument(
+        "--version",
+        action="version",
+        version=f"hemlockreeld {metadata.version('hemlockreel-daemon')}",
+    )
+    options = parser.parse_args(arguments)
+    if not options.config:
+        parser.error("--config FILE is needed")
+    return options
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Runs the daemon until it has drained; returns the exit code."""
+    options = parse_arguments(arguments)
+    try:
+        found = settings.load(options.config)
+    except settings.SettingsError as error:
+        print(f"hemlockreeld: {error}", file=sys.stderr)
+        return 1
+    if options.check:
+        print(f"{options.config}: settings are valid")
+        return 0
+    logs.set_up(found.log_level)
+    threading.stack_size(THREAD_STACK_BYTES)
+    return _serve(found)
+
+
+def _serve(found: settings.Settings) -> int:
+    try:
+        daemon = daemons.Daemon(found)
+    except Exception as error:
+        print(f"hemlockreeld: can't listen: {error}", file=sys.stderr)
+        return 1
+    root = callers.Callers(daemon)
+    opened = [
+        servers.Server(
+            found.listen.callers, root, found.max_in_flight + SPARE_THREADS
+        ),
+        servers.Server(
+            found.listen.operators,
+            operators.Operators(daemon),
+            OPERATOR_THREADS,
+        ),
+    ]
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: daemon.loop.post(events.DrainAsked()))
+    try:
+        for server in opened:
+            server.start()
+    except OSError as error:
+        print(f"hemlockreeld: can't listen: {error}", file=sys.stderr)
+        return 1
+    daemon.start()
+    logs.write("started", {"host": daemon.board.identity.host})
+    daemon.exiting.wait()
+    _await_last_answers(root)
+    for server in opened:
+        server.stop()
+    daemon.stop()
+    logs.write("stopped", {"host": daemon.board.identity.host})
+    return 0
+
+
+def _await_last_answers(root: callers.Callers) -> None:
+    end = time.monotonic() + LAST_ANSWERS_S
+    while root.active and time.monotonic() < end:
+        time.sleep(0.02)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/metrics.py
@@ -0,0 +1,54 @@
+"""The daemon's metrics for Prometheus."""
+
+import prometheus_client
+
+# Counters that the core raises by name: help text and label names.
+COUNTERS: dict[str, tuple[str, tuple[str, ...]]] = {
+    "grants": ("Places granted by this daemon as owner.", ()),
+    "denials": ("Asks denied by this daemon as owner.", ("reason",)),
+    "lapsed_grants": ("Grants taken back as their lease lapsed.", ()),
+    "revoked_grants": ("Own grants that an owner took back.", ()),
+    "host_list_failures": ("Failed reads of the host list.", ()),
+    "configuration_changes": ("Configurations taken into force.", ()),
+    "requests": ("Callers' requests by outcome.", ("kind", "outcome")),
+    "resumed_streams": ("Decode streams resumed after a cut.", ()),
+    "wrong_answers": ("Backend answers with another request's id.", ()),
+    "lost_messages": ("Messages to peers that could not be sent.", ()),
+    "broken_messages": ("Messages from peers that were none.", ()),
+    "callers_gone": ("Callers that left before their answer.", ()),
+}
+
+
+class Metrics:
+    """The registry of one daemon and its counters."""
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self._counters: dict[str, prometheus_client.Counter] = {}
+        for name, (text, labels) in COUNTERS.items():
+            self._counters[name] = prometheus_client.Counter(
+                f"hemlockreel_{name}", text, labels, registry=self.registry
+            )
+        self.in_flight = prometheus_client.Gauge(
+            "hemlockreel_in_flight",
+            "Callers' requests carried now.",
+            registry=self.registry,
+        )
+        self.first_token = prometheus_client.Histogram(
+            "hemlockreel_first_token_seconds",
+            "Time from the request to its first token.",
+            registry=self.registry,
+        )
+
+    def count(
+        self, name: str, amount: float = 1, labels: tuple[str, ...] = ()
+    ) -> None:
+        """Adds to a counter of :data:`COUNTERS`."""
+        counter = self._counters[name]
+        if labels:
+            counter = counter.labels(*labels)
+        counter.inc(amount)
+
+    def text(self) -> bytes:
+        """Returns all metrics in the exposition format."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/operators.py
@@ -0,0 +1,78 @@
+"""The operators' listener: health, metrics, status and traces."""
+
+from typing import Any
+
+import cherrypy
+import msgspec
+
+from hemlockreel import board as boards
+from hemlockreel import configuration
+from hemlockreel import hosts
+from hemlockreel import membership
+
+from . import answers
+from . import daemon as daemons
+
+
+class Operators:
+    """The root of the operators' listener."""
+
+    def __init__(self, daemon: daemons.Daemon):
+        self._daemon = daemon
+
+    @cherrypy.expose
+    def healthz(self) -> bytes:
+        """Answers 200 while the loop runs."""
+        self._daemon.loop.ask(lambda board: None)
+        return answers.send_json({"healthy": True})
+
+    @cherrypy.expose
+    def readyz(self) -> bytes:
+        """Answers 200 when callers may be sent here, else 503."""
+        ready = self._daemon.loop.ask(_is_ready)
+        if not ready:
+            cherrypy.response.status = 503
+        return answers.send_json({"ready": ready})
+
+    @cherrypy.expose
+    def metrics(self) -> bytes:
+        """Answers the metrics in Prometheus' text format."""
+        cherrypy.response.headers["Content-Type"] = (
+            "text/plain; version=0.0.4; charset=utf-8"
+        )
+        return self._daemon.metrics.text()
+
+    @cherrypy.expose
+    def status(self) -> bytes:
+        """Answers what this daemon knows and has in force."""
+        return answers.send_json(self._daemon.loop.ask(_describe))
+
+    @cherrypy.expose
+    def traces(self, request_id: str = "") -> bytes:
+        """Answers the kept spans of a request."""
+        return answers.send_json(self._daemon.traces.find(request_id))
+
+
+def _is_ready(board: boards.Board) -> bool:
+    known = board.state(hosts.State).read_at is not None
+    draining = membership.table(board).draining
+    return configuration.current(board) is not None and known and not draining
+
+
+def _describe(board: boards.Board) -> dict[str, Any]:
+    found = configuration.current(board)
+    return {
+        "host": board.identity.host,
+        "epoch": board.identity.epoch,
+        "generation": found.generation if found else 0,
+        "rejected": [
+            invalid._asdict() for invalid in (found.rejected if found else ())
+        ],
+        "members": [
+            msgspec.to_builtins(member) for member in membership.live(board)
+        ],
+        "backend_servers": [
+            replica._replace(role=replica.role.value)._asdict()
+            for replica in board.state(hosts.State).replicas.values()
+        ],
+    }
--- /dev/null
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/peers.py
@@ -0,0 +1,70 @@
+"""Messages to and from other daemons over pynng."""
+
+from collections.abc import Callable
+import threading
+from typing import Any
+
+import pynng
+
+from hemlockreel import messages
+
+SEND_BUFFER = 256  # messages kept for a peer that is not connected yet
+RECEIVE_TIMEOUT_MS = 500
+RECONNECT_MAX_MS = 1000
+
+
+class Peers:
+    """The sockets of one daemon: one to receive, one to each peer."""
+
+    def __init__(self, address: str, metrics: Any):
+        self._metrics = metrics
+        self._closing = threading.Event()
+        self._inbox = pynng.Pull0(
+            listen=f"tcp://{address}", recv_timeout=RECEIVE_TIMEOUT_MS
+        )
+        self._outboxes: dict[str, pynng.Push0] = {}
+
+    def start(self, post: Callable[[Any], None]) -> None:
+        """Hands each message that comes in to ``post``, on a thread."""
+        threading.Thread(
+            target=self._receive, args=(post,), name="peers", daemon=True
+        ).start()
+
+    def send(self, to: str, message: messages.Message) -> None:
+        """Sends without waiting; what can't be sent is counted and lost."""
+        outbox = self._outboxes.get(to)
+        if outbox is None:
+            outbox = self._outboxes[to] = self._dial(to)
+        try:
+            outbox.send(messages.encode(message), block=False)
+        except pynng.NNGException:
+            self._metrics.count("lost_messages")
+
+    def close(self) -> None:
+        """Closes all sockets."""
+        self._closing.set()
+        for outbox in self._outboxes.values():
+            outbox.close()
+        self._inbox.close()
+
+    def _dial(self, to: str) -> pynng.Push0:
+        outbox = pynng.Push0(
+            send_buffer_size=SEND_BUFFER,
+            reconnect_time_max=RECONNECT_MAX_MS,
+        )
+        outbox.dial(f"tcp://{to}", block=False)
+        return outbox
+
+    def _receive(self, post: Callable[[Any], None]) -> None:
+        while not self._closing.is_set():
+            try:
+                data = self._inbox.recv()
+            except pynng.Timeout:
+                continue
+            except pynng.NNGException:
+                return
+            message = messages.decode(data)
+            if message is None:
+                self._metrics.count("broken_messages")
+            else:
+                post(message)
--- /dev/null
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/routing.py
@@ -0,0 +1,67 @@
+"""Checks a caller's request against the configuration in force.
+
+These run on a worker's thread with the configuration that the loop last put
+in force; the loop checks again what depends on its own state.
+"""
+
+from hemlockreel import configuration
+from hemlockreel import objects
+from hemlockreel import outcomes
+from hemlockreel import prefixes
+
+from . import generate
+
+RETRY_AFTER_S = 1.0
+
+_NOT_CONFIGURED = outcomes.not_run(
+    outcomes.Reason.NOT_CONFIGURED, RETRY_AFTER_S
+)
+
+
+def limit(
+    found: configuration.Configuration | None, job: generate.Job
+) -> generate.Job | outcomes.Refused:
+    """Returns ``job`` with the pool's class, length and deadline."""
+    if found is None:
+        return _NOT_CONFIGURED
+    for pool in found.modelpools.values():
+        if pool.model == job.model:
+            return _limit_to(pool, job)
+    detail = f"no pool serves the model {job.model!r}"
+    return outcomes.not_run(outcomes.Reason.UNKNOWN_MODEL, detail=detail)
+
+
+def _limit_to(
+    pool: objects.ModelPool, job: generate.Job
+) -> generate.Job | outcomes.Refused:
+    tokens = prefixes.count_tokens(job.prompt)
+    if tokens > pool.max_prompt_tokens:
+        detail = (
+            f"the prompt has {tokens} tokens, "
+            f"the pool takes {pool.max_prompt_tokens}"
+        )
+        return outcomes.not_run(outcomes.Reason.PROMPT_TOO_LONG, detail=detail)
+    klass = job.klass or pool.default_class
+    deadline_s = job.deadline_s or pool.first_token_ms / 1000
+    if klass == "deferrable" and not job.deadline_s:
+        deadline_s = pool.deferrable_wait_s
+    most = pool.max_output_tokens
+    return job._replace(
+        klass=klass,
+        max_tokens=min(job.max_tokens or most, most),
+        deadline_s=deadline_s,
+        priority=0 if klass == "deferrable" else job.priority,
+    )
+
+
+def find(
+    found: configuration.Configuration | None, path: str
+) -> objects.Route | outcomes.Refused:
+    """Returns the route of ``path``."""
+    if found is None:
+        return _NOT_CONFIGURED
+    route = configuration.match_route(found, path)
+    if route is None:
+        detail = f"no route matches {path!r}"
+        return outcomes.not_run(outcomes.Reason.UNKNOWN_ROUTE, detail=detail)
+    return route
--- /dev/null
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/settings.py
@@ -0,0 +1,81 @@
+"""The daemon's settings: a JSON file, checked when it is read."""
+
+import ipaddress
+import json
+from typing import Any
+
+import msgspec
+
+
+class SettingsError(Exception):
+    """The settings can't be used; the message is for the operator."""
+
+
+class Listen(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where the daemon listens, each ``IP:PORT``."""
+
+    callers: str
+    operators: str
+    peers: str
+
+
+class Settings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """All settings of one daemon.
+
+    ``store`` and ``host_list`` are the addresses of the platform's services,
+    ``seeds`` the peer addresses of some other daemons. ``max_in_flight``
+    bounds the callers' requests that are carried at once.
+    """
+
+    zone: str
+    region: str
+    listen: Listen
+    store: str
+    host_list: str
+    seeds: tuple[str, ...] = ()
+    max_in_flight: int = 600
+    log_level: str = "INFO"
+
+
+def load(path: str) -> Settings:
+    """Reads and checks the file ``path``.
+
+    Raises :class:`SettingsError` with the path of the wrong setting within
+    the file and what was expected there.
+    """
+    try:
+        with open(path, "rb") as file:
+            found = msgspec.json.decode(file.read(), type=Settings)
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except msgspec.DecodeError as error:
+        raise SettingsError(f"{path}: {error}") from error
+    _check_addresses(path, found)
+    return found
+
+
+def _check_addresses(path: str, found: Settings) -> None:
+    listen: dict[str, Any] = msgspec.structs.asdict(found.listen)
+    named = {f"$.listen.{name}": value for name, value in listen.items()}
+    named["$.store"] = found.store
+    named["$.host_list"] = found.host_list
+    for index, seed in enumerate(found.seeds):
+        named[f"$.seeds[{index}]"] = seed
+    for place, value in named.items():
+        if not _is_address(value):
+            shown = json.dumps(value)
+            raise SettingsError(
+                f"{path}: Expected `IP:PORT`, got {shown} - at `{place}`"
+            )
+
+
+def _is_address(value: str) -> bool:
+    """Tells whether ``value`` is an IP number with a port."""
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        return 0 < int(port) < 65536
+    except ValueError:
+        return False
--- a/packages/hemlockreel/hemlockreel/configuration.py
+++ b/packages/hemlockreel/hemlockreel/configuration.py
@@ -52,11 +52,8 @@
     return None
 
 
-def find_route(board: boards.Board, path: str) -> objects.Route | None:
+def match_route(found: Configuration, path: str) -> objects.Route | None:
     """Returns the route with the longest prefix of ``path``."""
-    found = current(board)
-    if found is None:
-        return None
     matches = [
         route
         for route in found.routes.values()
--- /dev/null
+++ b/standins/hemlockreel_standins/processes.py
@@ -0,0 +1,251 @@
+"""Starts and stops the processes of a deployment, for tests and the demo."""
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Any
+
+import urllib3
+
+READY_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 20.0
+POLL_S = 0.05
+
+HTTP = urllib3.PoolManager(retries=False, timeout=10.0)
+
+
+class Process:
+    """A process that this one started, with its address."""
+
+    def __init__(self, name: str, arguments: list[str], log: pathlib.Path):
+        self.name = name
+        self.log = log
+        self.address = ""
+        with open(log, "ab") as errors:
+            self._popen = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                stdout=subprocess.PIPE,
+                stderr=errors,
+                text=True,
+            )
+        self.pid = self._popen.pid
+
+    def read_address(self) -> None:
+        """Waits for the line in which a stand-in tells its address."""
+        line = self._popen.stdout.readline()
+        if not line.startswith("ready "):
+            text = self.log.read_text()
+            raise RuntimeError(f"{self.name} did not start: {text}")
+        self.address = line.split()[1]
+
+    def signal(self, number: int) -> None:
+        """Sends a signal, if the process still runs."""
+        if self._popen.poll() is None:
+            self._popen.send_signal(number)
+
+    def kill(self) -> None:
+        """Ends the process at once."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        self._popen.wait()
+
+    def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Waits for the end of the process and returns its exit code."""
+        return self._popen.wait(timeout_s)
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._popen.poll() is None
+
+
+class Deployment:
+    """The stand-ins and daemons of one deployment, as processes."""
+
+    def __init__(self, region: str):
+        self.region = region
+        self._folder = tempfile.TemporaryDirectory()
+        self.folder = pathlib.Path(self._folder.name)
+        self.processes: list[Process] = []
+        self.hosts: list[dict[str, str]] = []
+        self.daemons: list[DaemonProcess] = []
+        self.store = self._stand_in("store", [])
+        self.host_list = self._stand_in("hostlist", [])
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *details):
+        self.close()
+
+    def close(self) -> None:
+        """Ends all processes that still run."""
+        for process in self.processes:
+            process.kill()
+        self._folder.cleanup()
+
+    def add_replica(
+        self, service: str, zone: str, role: str, arguments: list[str] = []
+    ) -> Process:
+        """Starts a backend server and puts it on the host list."""
+        module = "service" if role == "plain" else "engine"
+        extra = list(arguments)
+        if role != "plain":
+            extra += ["--role", role]
+        process = self._stand_in(module, extra)
+        self.hosts.append(
+            {
+                "address": process.address,
+                "service": service,
+                "zone": zone,
+                "region": self.region,
+                "state": "live",
+                "role": role,
+            }
+        )
+        self.write_hosts()
+        return process
+
+    def write_hosts(self) -> None:
+        """Hands the list of hosts to the host list's stand-in."""
+        put(self.host_list.address, "/v1/hosts", {"hosts": self.hosts})
+
+    def add_daemon(self, zone: str, **settings: Any) -> "DaemonProcess":
+        """Starts an entry host; the first ones are the seeds of the rest."""
+        seeds = [daemon.peers for daemon in self.daemons[:3]]
+        listen = {
+            name: f"127.0.0.1:{free_port()}"
+            for name in ("callers", "operators", "peers")
+        }
+        value = {
+            "zone": zone,
+            "region": self.region,
+            "listen": listen,
+            "store": self.store.address,
+            "host_list": self.host_list.address,
+            "seeds": seeds,
+            **settings,
+        }
+        name = f"daemon-{len(self.daemons)}"
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(value))
+        daemon = DaemonProcess(name, path, value, self.folder)
+        self.processes.append(daemon)
+        self.daemons.append(daemon)
+        self.hosts.append(
+            {
+                "address": listen["peers"],
+                "service": "hemlockreel",
+                "zone": zone,
+                "region": self.region,
+                "state": "live",
+                "role": "entry",
+            }
+        )
+        self.write_hosts()
+        return daemon
+
+    def apply(self, kind: str, name: str, value: dict[str, Any]) -> None:
+        """Writes a declared object into the store."""
+        put(self.store.address, f"/v1/objects/{kind}/{name}", value)
+
+    def _stand_in(self, module: str, arguments: list[str]) -> Process:
+        name = f"{module}-{len(self.processes)}"
+        process = Process(
+            name,
+            [f"hemlockreel_standins.{module}", *arguments],
+            self.folder / f"{name}.log",
+        )
+        self.processes.append(process)
+        process.read_address()
+        return process
+
+
+class DaemonProcess(Process):
+    """A running `hemlockreeld`."""
+
+    def __init__(
+        self,
+        name: str,
+        path: pathlib.Path,
+        value: dict[str, Any],
+        folder: pathlib.Path,
+    ):
+        self.settings = value
+        self.callers = value["listen"]["callers"]
+        self.operators = value["listen"]["operators"]
+        self.peers = value["listen"]["peers"]
+        super().__init__(
+            name,
+            ["hemlockreel_daemon", "--config", str(path)],
+            folder / f"{name}.log",
+        )
+
+    def await_ready(self, timeout_s: float = READY_TIMEOUT_S) -> None:
+        """Waits until callers may use this daemon."""
+        await_that(
+            lambda: self.running and get_status(self.operators, "/readyz") == 200,
+            timeout_s,
+            f"{self.name} is not ready:\n{self.log.read_text()}",
+        )
+
+    def status(self) -> dict[str, Any]:
+        """Returns what the daemon says of itself."""
+        return get(self.operators, "/status")
+
+
+def await_that(test, timeout_s: float, message: str) -> None:
+    """Waits until ``test()``; raises with ``message`` when it never is."""
+    end = time.monotonic() + timeout_s
+    while not test():
+        if time.monotonic() > end:
+            raise TimeoutError(message)
+        time.sleep(POLL_S)
+
+
+def free_port() -> int:
+    """Returns a port that nothing listens on now.
+
+    It lies below the range of the ports that connections get, so that no
+    connection of another process takes it in the meantime.
+    """
+    low = 20000
+    for _ in range(200):
+        port = low + int.from_bytes(os.urandom(2), "big") % 12000
+        with socket.socket() as found:
+            try:
+                found.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+    raise RuntimeError("no free port")
+
+
+def get(address: str, path: str) -> Any:
+    """Returns the JSON answer of a GET."""
+    return HTTP.request("GET", f"http://{address}{path}").json()
+
+
+def get_status(address: str, path: str) -> int:
+    """Returns the status of a GET, 0 when there was no answer."""
+    try:
+        return HTTP.request("GET", f"http://{address}{path}").status
+    except urllib3.exceptions.HTTPError:
+        return 0
+
+
+def put(address: str, path: str, value: Any) -> Any:
+    """Returns the JSON answer of a PUT."""
+    answer = HTTP.request(
+        "PUT",
+        f"http://{address}{path}",
+        body=json.dumps(value).encode(),
+        headers={"Content-Type": "application/json"},
+    )
+    return answer.json()
