Add the model engine as a stand-in process

The physics (prefill queue, batching, memory pieces, prefix cache, rate-limited export, lagging load) stand in engine_model.py without input or output, so that the load tool can run them in virtual time. The text of an answer depends only on the request's id and the offset.

--- /dev/null
+++ b/standins/hemlockreel_standins/engine.py
@@ -0,0 +1,369 @@
+"""A model engine as a process; see docs/design/protocols.md.
+
+The text of an answer depends on nothing but the request's id and the offset,
+so that a test can tell a whole answer from any other.
+"""
+
+import argparse
+from collections.abc import Iterator
+import json
+import threading
+import time
+from typing import Any
+
+import urllib3
+
+from hemlockreel import prefixes
+
+from . import engine_model
+from . import server
+
+TICK_S = 0.002
+IMPORT_TIMEOUT_S = 60.0
+
+
+def text(request_id: str, offset: int) -> str:
+    """Returns the token at ``offset`` of the answer to ``request_id``.
+
+    >>> text("r1", 3)
+    'r1:3 '
+    """
+    return f"{request_id}:{offset} "
+
+
+def answer(request_id: str, tokens: int) -> str:
+    """Returns the whole answer of ``tokens`` tokens to ``request_id``."""
+    return "".join(text(request_id, offset) for offset in range(tokens))
+
+
+def _error(status: int, reason: str) -> server.Response:
+    return server.Response(status, {"error": reason})
+
+
+class EngineStandIn(server.StandIn):
+    """Serves the engine's protocol in front of an engine model."""
+
+    faults = {
+        "cut_after_tokens": 0,
+        "wrong_id": False,
+        "repeat_answer": False,
+        "lose_answers": 0,
+        "drop_cancels": False,
+        "slow_factor": 1.0,
+        "link_bytes_per_s": 0.0,
+        "lose_cache_events": False,
+    }
+
+    def __init__(
+        self,
+        role: str = "decode",
+        models: tuple[str, ...] = ("lesar-7b",),
+        settings: engine_model.Settings | None = None,
+        fencing: bool = True,
+    ):
+        super().__init__()
+        settings = settings or engine_model.Settings()
+        self.model = engine_model.Engine(role, settings)
+        self.models = list(models)
+        self.version = "1"
+        self.adapters: list[str] = []
+        self.fencing = fencing
+        self.fence = 0
+        self._orders: list[dict[str, Any]] = []
+        self._runs: list[dict[str, Any]] = []
+        self._changed = threading.Condition(self.lock)
+        self._prefilled: dict[str, Any] = {}
+        self._frozen_s = 0.0
+        self._pool = urllib3.PoolManager(retries=False)
+        threading.Thread(target=self._tick, daemon=True).start()
+
+    def journal(self) -> Any:
+        """Returns the orders and decodes in the order they took effect."""
+        with self.lock:
+            return {"orders": list(self._orders), "runs": list(self._runs)}
+
+    def respond(self, request: server.Request) -> server.Response:
+        """Answers one call of the protocol."""
+        route = (request.method, request.path)
+        if request.path.startswith("/v1/kv/") and request.method == "GET":
+            return self._export(request.path.removeprefix("/v1/kv/"))
+        calls = {
+            ("POST", "/v1/prefill"): self._prefill,
+            ("POST", "/v1/decode"): self._decode,
+            ("POST", "/v1/cancel"): self._cancel,
+            ("POST", "/v1/orders"): self._order,
+            ("GET", "/v1/requests"): self._list,
+            ("GET", "/v1/load"): self._load,
+            ("GET", "/v1/cache/events"): self._cache_events,
+        }
+        call = calls.get(route)
+        return _error(404, "no such path") if call is None else call(request)
+
+    def now(self) -> float:
+        """Returns the time of the model, which stops in a freeze."""
+        return time.monotonic() - self._frozen_s
+
+    def _tick(self) -> None:
+        while not self.closing.wait(TICK_S):
+            if self.faults["freeze"]:
+                self._sit_out_freeze()
+            with self._changed:
+                self.model.slow_factor = self.faults["slow_factor"]
+                if self._advance():
+                    self._changed.notify_all()
+
+    def _sit_out_freeze(self) -> None:
+        started = time.monotonic()
+        while self.faults["freeze"] and not self.closing.wait(TICK_S):
+            continue
+        self._frozen_s += time.monotonic() - started
+
+    def _advance(self) -> bool:
+        """Lets the model's time pass; returns whether anything happened."""
+        if self.model.next_at() > self.now():
+            return False
+        for done in self.model.advance(self.now()):
+            if done.what == "prefill":
+                self._prefilled[done.detail.handle] = done.detail
+        return True
+
+    def _prefill(self, request: server.Request) -> server.Response:
+        body = request.json()
+        prompt = body["prompt"]
+        if self.model.role != "prefill":
+            return _error(409, "wrong_role")
+        with self._changed:
+            handle = self.model.prefill(
+                body["request_id"],
+                body["attempt"],
+                prefixes.count_tokens(prompt),
+                prefixes.chain(prompt),
+                body.get("priority", 0),
+                self.now(),
+            )
+            while handle not in self._prefilled:
+                if self.closing.is_set():
+                    return server.DROP
+                if not self._holds(body["request_id"]):
+                    return _error(409, "cancelled")
+                self._changed.wait(1.0)
+            done = self._prefilled.pop(handle)
+        found = {
+            "request_id": body["request_id"],
+            "attempt": body["attempt"],
+            "handle": handle,
+            "prompt_tokens": done.prompt_tokens,
+            "cached_tokens": done.cached_tokens,
+        }
+        return server.Response(200, found)
+
+    def _holds(self, request_id: str) -> bool:
+        held = self.model.requests()
+        return any(found["request_id"] == request_id for found in held)
+
+    def _export(self, handle: str) -> server.Response:
+        with self.lock:
+            rate = self.faults["link_bytes_per_s"]
+            export = self.model.export(handle, self.now(), rate)
+        if export is None:
+            return _error(404, "evicted")
+        self.wait(lambda: self.now() >= export.ends_at)
+        body = {"bytes": export.bytes, "prompt_tokens": export.prompt_tokens}
+        return server.Response(200, body)
+
+    def _decode(self, request: server.Request) -> server.Response:
+        body = request.json()
+        request_id = body["request_id"]
+        if body.get("offset", 0) > 0:
+            return self._resume(body)
+        if self.model.role != "decode":
+            return _error(409, "wrong_role")
+        with self.lock:
+            reserved = self.model.reserve(
+                request_id,
+                body["attempt"],
+                body["prompt_tokens"],
+                body["max_tokens"],
+                body.get("priority", 0),
+            )
+            mine = self.model.sequences.get(request_id)
+        if not reserved:
+            return _error(507, "memory_full")
+        if not self._import(body["source"], body["handle"]):
+            with self.lock:
+                if self.model.sequences.get(request_id) is mine:
+                    self.model.cancel(request_id, self.now())
+            return _error(409, "evicted")
+        with self._changed:
+            if self.model.sequences.get(request_id) is not mine:
+                return _error(409, "cancelled")
+            self.model.start(request_id, self.now())
+            self._runs.append(
+                {"request_id": request_id, "attempt": body["attempt"]}
+            )
+        return server.Response(200, self._stream(body))
+
+    def _import(self, source: str, handle: str) -> bool:
+        url = f"http://{source}/v1/kv/{handle}"
+        try:
+            answer = self._pool.request(
+                "GET", url, timeout=IMPORT_TIMEOUT_S, retries=False
+            )
+        except urllib3.exceptions.HTTPError:
+            return False
+        return answer.status == 200
+
+    def _resume(self, body: dict[str, Any]) -> server.Response:
+        with self.lock:
+            if self.model.made(body["request_id"]) < 0:
+                return _error(404, "unknown_request")
+        return server.Response(200, self._stream(body))
+
+    def _stream(self, body: dict[str, Any]) -> Iterator[bytes | None]:
+        """Yields a line per token from the wanted offset to the end."""
+        request_id = body["request_id"]
+        offset = body.get("offset", 0)
+        sent = 0
+        while offset < body["max_tokens"]:
+            with self._changed:
+                while 0 <= (made := self.model.made(request_id)) <= offset:
+                    if self.closing.is_set():
+                        yield None
+                        return
+                    self._changed.wait(1.0)
+            if made < 0:
+                yield None  # The request was cancelled.
+                return
+            while offset < min(made, body["max_tokens"]):
+                if self._cut_here(sent):
+                    yield None
+                    return
+                yield from self._lines(body, offset)
+                offset += 1
+                sent += 1
+
+    def _cut_here(self, sent: int) -> bool:
+        with self.lock:
+            limit = self.faults["cut_after_tokens"]
+            if not limit or sent < limit:
+                return False
+            self.faults["cut_after_tokens"] = 0
+            return True
+
+    def _lines(self, body: dict[str, Any], offset: int) -> Iterator[bytes]:
+        request_id = body["request_id"]
+        line = {
+            "request_id": request_id,
+            "attempt": body["attempt"],
+            "offset": offset,
+            "text": text(request_id, offset),
+            "done": offset + 1 == body["max_tokens"],
+        }
+        if self.take("wrong_id"):
+            other = f"other-{request_id}"
+            stray = {**line, "request_id": other, "text": text(other, offset)}
+            yield json.dumps(stray).encode() + b"\n"
+        data = json.dumps(line).encode() + b"\n"
+        yield data
+        if self.take("repeat_answer"):
+            yield data
+
+    def _cancel(self, request: server.Request) -> server.Response:
+        request_id = request.json()["request_id"]
+        if self.faults["drop_cancels"]:
+            return server.Response(
+                200, {"request_id": request_id, "held": True}
+            )
+        with self._changed:
+            self.model.cancel(request_id, self.now())
+            self._changed.notify_all()
+        if self.take("lose_answers"):
+            return server.DROP
+        return server.Response(200, {"request_id": request_id, "held": False})
+
+    def _order(self, request: server.Request) -> server.Response:
+        body = request.json()
+        with self._changed:
+            if self.fencing and body["fence"] < self.fence:
+                return _error(409, "stale_fence")
+            current = self._describe()
+            for field, value in (body.get("expected") or {}).items():
+                if current.get(field) != value:
+                    return _error(412, "unexpected_state")
+            self.fence = max(self.fence, body["fence"])
+            self._apply(body["order"], body["value"])
+            self._orders.append(body)
+            self._changed.notify_all()
+        if self.take("lose_answers"):
+            return server.DROP
+        done = {"done": True, "role": self.model.role}
+        return server.Response(200, {**done, "version": self.version})
+
+    def _apply(self, order: str, value: str) -> None:
+        if order == "set_role":
+            self.model.role = value
+        elif order == "load_version":
+            self.version = value
+        elif order == "load_model":
+            self.models = [value]
+        elif order == "load_adapter" and value not in self.adapters:
+            self.adapters.append(value)
+
+    def _describe(self) -> dict[str, Any]:
+        return {
+            "role": self.model.role,
+            "models": list(self.models),
+            "version": self.version,
+            "adapters": list(self.adapters),
+            "fence": self.fence,
+        }
+
+    def _list(self, request: server.Request) -> server.Response:
+        with self.lock:
+            return server.Response(200, {"requests": self.model.requests()})
+
+    def _load(self, request: server.Request) -> server.Response:
+        with self.lock:
+            load = self.model.load(self.now())
+            return server.Response(200, {**load, **self._describe()})
+
+    def _cache_events(self, request: server.Request) -> server.Response:
+        after = int(request.query.get("after", 0))
+        with self.lock:
+            if self.faults["lose_cache_events"]:
+                self.model.cache.lose_events()
+            body = self.model.cache.events(after, self.now())
+        return server.Response(200, body)
+
+
+def _parser() -> argparse.ArgumentParser:
+    defaults = engine_model.Settings()
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--role", default="decode")
+    parser.add_argument("--model", action="append")
+    parser.add_argument(
+        "--fencing", choices=("check", "ignore"), default="check"
+    )
+    for name in engine_model.Settings._fields:
+        default = getattr(defaults, name)
+        parser.add_argument(
+            "--" + name.replace("_", "-"), type=type(default), default=default
+        )
+    return parser
+
+
+def make(options: argparse.Namespace) -> EngineStandIn:
+    """Returns the stand-in that the command line asks for."""
+    given = {
+        name: getattr(options, name) for name in engine_model.Settings._fields
+    }
+    return EngineStandIn(
+        options.role,
+        tuple(options.model or ("lesar-7b",)),
+        engine_model.Settings(**given),
+        options.fencing == "check",
+    )
+
+
+if __name__ == "__main__":
+    server.main(make, _parser())
--- /dev/null
+++ b/standins/hemlockreel_standins/engine_model.py
@@ -0,0 +1,376 @@
+"""How a model engine behaves over time, without any input or output.
+
+Time is passed in, in seconds, and never goes back. The engine process and the
+load tool share this model. A prefill engine runs one prefill at a time. A
+decode engine makes one token for each running sequence in each step; a step
+takes longer with more sequences.
+"""
+
+import collections
+import math
+from typing import Any
+from typing import NamedTuple
+
+from . import engine_cache
+
+
+class Settings(NamedTuple):
+    """The speeds and sizes of an engine.
+
+    ``kv_bytes_per_token`` is the size of the KV cache that a transfer moves.
+    """
+
+    pieces: int = 20
+    piece_tokens: int = 4096
+    prefill_tokens_per_s: float = 8000.0
+    prefill_base_s: float = 0.02
+    step_base_s: float = 0.025
+    step_per_sequence_s: float = 0.002
+    result_ttl_s: float = 0.8
+    resume_s: float = 5.0
+    load_lag_s: float = 0.5
+    link_bytes_per_s: float = 10e9
+    kv_bytes_per_token: int = 200_000
+    cache_blocks: int = 512
+    block_tokens: int = 256
+    event_lag_s: float = 0.5
+
+
+class Prefill(NamedTuple):
+    """A prefill that waits or runs."""
+
+    request_id: str
+    attempt: int
+    handle: str
+    prompt_tokens: int
+    prefixes: tuple[int, ...]
+    priority: int
+    cached_tokens: int = 0
+
+
+class Result:
+    """A prefill result that waits for its export."""
+
+    def __init__(self, prefill: Prefill, expires_at: float):
+        self.prefill = prefill
+        self.expires_at = expires_at
+
+
+class Export(NamedTuple):
+    """A transfer over the engine's link, which moves one at a time."""
+
+    bytes: int
+    prompt_tokens: int
+    ends_at: float
+
+
+class Sequence:
+    """A sequence in decode memory.
+
+    ``joined`` is the step after which it makes tokens, ``None`` while its KV
+    cache is still on its way or the batch is full.
+    """
+
+    def __init__(self, request_id: str, pieces: int, tokens: int, rank):
+        self.request_id = request_id
+        self.pieces = pieces
+        self.tokens = tokens
+        self.rank = rank
+        self.attempt = 0
+        self.joined: int | None = None
+        self.ended_at: float | None = None
+
+
+class Done(NamedTuple):
+    """Something ended: ``prefill``, ``evicted``, ``first`` or ``last``."""
+
+    what: str
+    request_id: str
+    at: float
+    detail: Any = None
+
+
+class Engine:
+    """One engine in one role."""
+
+    def __init__(self, role: str, settings: Settings):
+        self.role = role
+        self.settings = settings
+        self.slow_factor = 1.0
+        self.cache = engine_cache.PrefixCache(
+            settings.cache_blocks, settings.event_lag_s
+        )
+        self.sequences: dict[str, Sequence] = {}
+        self.results: dict[str, Result] = {}
+        self._queue: list[Prefill] = []
+        self._current: Prefill | None = None
+        self._current_ends = math.inf
+        self._link_free_at = 0.0
+        self._step = 0
+        self._step_ends = math.inf
+        self._batch = 0
+        self._firsts: dict[int, list[Sequence]] = collections.defaultdict(list)
+        self._lasts: dict[int, list[Sequence]] = collections.defaultdict(list)
+        self._ended: collections.deque[Sequence] = collections.deque()
+        self._handles = 0
+        self._load: dict[str, Any] = {}
+        self._load_at = -math.inf
+
+    @property
+    def pieces_free(self) -> int:
+        """The pieces of memory that nothing holds now."""
+        held = sum(
+            sequence.pieces
+            for sequence in self.sequences.values()
+            if sequence.ended_at is None
+        )
+        held += sum(self._size(x.prefill) for x in self.results.values())
+        return self.settings.pieces - held
+
+    # Prefill
+
+    def prefill(
+        self,
+        request_id: str,
+        attempt: int,
+        prompt_tokens: int,
+        prefixes: tuple[int, ...],
+        priority: int,
+        now: float,
+    ) -> str:
+        """Queues a prefill and returns the handle of its result."""
+        self._handles += 1
+        handle = f"{request_id}-{attempt}-{self._handles}"
+        self._queue.append(
+            Prefill(
+                request_id, attempt, handle, prompt_tokens, prefixes, priority
+            )
+        )
+        # The sort is stable: equal priorities stay first come, first served.
+        self._queue.sort(key=lambda queued: -queued.priority)
+        self._start_prefill(now)
+        return handle
+
+    def export(
+        self, handle: str, now: float, rate: float | None = None
+    ) -> Export | None:
+        """Starts the transfer of a result; ``None`` when it is gone."""
+        result = self.results.pop(handle, None)
+        if result is None or result.expires_at <= now:
+            return None
+        tokens = result.prefill.prompt_tokens
+        size = tokens * self.settings.kv_bytes_per_token
+        starts_at = max(now, self._link_free_at)
+        rate = rate or self.settings.link_bytes_per_s
+        self._link_free_at = starts_at + size / rate
+        return Export(size, tokens, self._link_free_at)
+
+    # Decode
+
+    def reserve(
+        self,
+        request_id: str,
+        attempt: int,
+        prompt_tokens: int,
+        max_tokens: int,
+        priority: int = 0,
+        length: int | None = None,
+    ) -> bool:
+        """Takes memory for a sequence; returns whether there was enough.
+
+        ``length`` is the number of tokens that it will really make.
+        """
+        size = prompt_tokens + max_tokens
+        pieces = -(-size // self.settings.piece_tokens)
+        held = self.sequences.get(request_id)
+        if held is not None and held.ended_at is None:
+            return False
+        if pieces > self.pieces_free:
+            return False
+        rank = (-priority, len(self.sequences))
+        made = Sequence(request_id, pieces, length or max_tokens, rank)
+        made.attempt = attempt
+        self.sequences[request_id] = made
+        return True
+
+    def start(self, request_id: str, now: float) -> bool:
+        """Lets a sequence join the batch; ``False`` if it was cancelled."""
+        sequence = self.sequences.get(request_id)
+        if sequence is None:
+            return False
+        sequence.joined = self._step
+        if self._step_ends < math.inf:
+            sequence.joined += 1  # The step that runs now was already formed.
+        self._batch += 1
+        self._firsts[sequence.joined + 1].append(sequence)
+        self._lasts[sequence.joined + sequence.tokens].append(sequence)
+        if self._step_ends == math.inf:
+            self._step_ends = now + self._step_s()
+        return True
+
+    def made(self, request_id: str) -> int:
+        """Returns how many tokens of a sequence exist, -1 if unknown."""
+        sequence = self.sequences.get(request_id)
+        if sequence is None:
+            return -1
+        if sequence.joined is None:
+            return 0
+        return max(0, min(self._step - sequence.joined, sequence.tokens))
+
+    # Both
+
+    def cancel(self, request_id: str, now: float) -> None:
+        """Frees all that ``request_id`` holds."""
+        sequence = self.sequences.pop(request_id, None)
+        if sequence is not None:
+            self._leave(sequence)
+        self._queue = [x for x in self._queue if x.request_id != request_id]
+        for handle, result in list(self.results.items()):
+            if result.prefill.request_id == request_id:
+                del self.results[handle]
+        current = self._current
+        if current is not None and current.request_id == request_id:
+            self._current = None
+            self._current_ends = math.inf
+            self._start_prefill(now)
+
+    def requests(self) -> list[dict[str, Any]]:
+        """Returns what each request holds."""
+        found = []
+        for prefill in self._prefills():
+            found.append(_describe(prefill, "prefill", self._size(prefill)))
+        for result in self.results.values():
+            size = self._size(result.prefill)
+            found.append(_describe(result.prefill, "result", size))
+        for sequence in self.sequences.values():
+            if sequence.ended_at is None:
+                state = "import" if sequence.joined is None else "decode"
+                found.append(_describe(sequence, state, sequence.pieces))
+        return found
+
+    def load(self, now: float) -> dict[str, Any]:
+        """Returns a load report, which may be ``load_lag_s`` old."""
+        if now - self._load_at >= self.settings.load_lag_s:
+            self._load_at = now
+            self._load = self._measure()
+        return {**self._load, "age_s": now - self._load_at}
+
+    def next_at(self) -> float:
+        """Returns when something happens next, infinite when idle."""
+        expiry = min(
+            (result.expires_at for result in self.results.values()),
+            default=math.inf,
+        )
+        return min(self._current_ends, self._step_ends, expiry)
+
+    def advance(self, now: float) -> list[Done]:
+        """Lets time pass until ``now``; returns what ended, in order."""
+        done: list[Done] = []
+        while (at := self.next_at()) <= now:
+            if at == self._step_ends:
+                done.extend(self._end_step(at))
+            elif at == self._current_ends:
+                done.append(self._end_prefill(at))
+            else:
+                done.extend(self._evict(at))
+        while self._ended and self._forgotten(self._ended[0], now):
+            gone = self._ended.popleft()
+            if self.sequences.get(gone.request_id) is gone:
+                del self.sequences[gone.request_id]
+        return done
+
+    def _forgotten(self, sequence: Sequence, now: float) -> bool:
+        return sequence.ended_at + self.settings.resume_s <= now
+
+    def _measure(self) -> dict[str, Any]:
+        waiting = sum(x.joined is None for x in self.sequences.values())
+        return {
+            "role": self.role,
+            "pieces_total": self.settings.pieces,
+            "pieces_free": self.pieces_free,
+            "running": self._batch,
+            "waiting": waiting + len(self._queue),
+            "prefill_queue_tokens": sum(
+                prefill.prompt_tokens for prefill in self._prefills()
+            ),
+        }
+
+    def _prefills(self) -> list[Prefill]:
+        running = [] if self._current is None else [self._current]
+        return running + self._queue
+
+    def _size(self, prefill: Prefill) -> int:
+        return -(-prefill.prompt_tokens // self.settings.piece_tokens)
+
+    def _start_prefill(self, now: float) -> None:
+        if self._current is not None or not self._queue:
+            return
+        prefill = self._queue.pop(0)
+        blocks = self.cache.match(prefill.prefixes)
+        cached = blocks * self.settings.block_tokens
+        cached = min(cached, prefill.prompt_tokens - 1)
+        self._current = prefill._replace(cached_tokens=cached)
+        work_s = (
+            prefill.prompt_tokens - cached
+        ) / self.settings.prefill_tokens_per_s
+        work_s += self.settings.prefill_base_s
+        self._current_ends = now + work_s * self.slow_factor
+
+    def _end_prefill(self, at: float) -> Done:
+        prefill = self._current
+        self._current = None
+        self._current_ends = math.inf
+        self.cache.store(prefill.prefixes, at)
+        expires_at = at + self.settings.result_ttl_s
+        self.results[prefill.handle] = Result(prefill, expires_at)
+        self._start_prefill(at)
+        return Done("prefill", prefill.request_id, at, prefill)
+
+    def _evict(self, at: float) -> list[Done]:
+        gone = []
+        for handle, result in list(self.results.items()):
+            if result.expires_at <= at:
+                del self.results[handle]
+                prefill = result.prefill
+                gone.append(Done("evicted", prefill.request_id, at, prefill))
+        return gone
+
+    def _step_s(self) -> float:
+        batch = self._batch * self.settings.step_per_sequence_s
+        return (self.settings.step_base_s + batch) * self.slow_factor
+
+    def _end_step(self, at: float) -> list[Done]:
+        self._step += 1
+        done = []
+        for sequence in self._firsts.pop(self._step, ()):
+            if self._runs(sequence):
+                done.append(Done("first", sequence.request_id, at))
+        for sequence in self._lasts.pop(self._step, ()):
+            if self._runs(sequence):
+                self._batch -= 1
+                sequence.ended_at = at
+                self._ended.append(sequence)
+                done.append(Done("last", sequence.request_id, at))
+        if self._batch:
+            self._step_ends = at + self._step_s()
+        else:
+            self._step_ends = math.inf
+        return done
+
+    def _runs(self, sequence: Sequence) -> bool:
+        held = self.sequences.get(sequence.request_id)
+        return held is sequence and sequence.ended_at is None
+
+    def _leave(self, sequence: Sequence) -> None:
+        """Takes a sequence that is no longer held out of the batch."""
+        if sequence.joined is not None and sequence.ended_at is None:
+            self._batch -= 1
+
+
+def _describe(held: Any, state: str, pieces: int) -> dict[str, Any]:
+    return {
+        "request_id": held.request_id,
+        "attempt": held.attempt,
+        "state": state,
+        "pieces": pieces,
+    }
