--- /dev/null
+++ b/standins/hemlockreel_standins/service.py
@@ -0,0 +1,72 @@
+"""Stand-in of a plain service that journals each call that takes effect."""
+
+import argparse
+from typing import Any
+
+from . import server
+
+
+class Service(server.StandIn):
+    """Answers every path, and keeps a journal of its runs."""
+
+    faults = {
+        "reset_before": 0,
+        "reset_after": 0,
+        "wrong_id": 0,
+        "status": 0,
+    }
+
+    def __init__(self):
+        super().__init__()
+        self.runs: list[dict[str, Any]] = []
+
+    def handle(self, request: server.Request) -> server.Response:
+        """Lets a silent service run what it never answers."""
+        control = request.path.startswith("/_")
+        if not control and self.faults["silent"]:
+            self._run(request)
+        return super().handle(request)
+
+    def respond(self, request: server.Request) -> server.Response:
+        """Runs the call and answers it."""
+        if self.take("reset_before"):
+            return server.DROP
+        status = self.faults["status"] or 200
+        run = self._run(request)
+        if self.take("reset_after"):
+            return server.DROP
+        request_id = run["request_id"]
+        if self.take("wrong_id"):
+            request_id = "another-" + request_id
+        headers = (("X-Request-Id", request_id), ("X-Attempt", run["attempt"]))
+        body = {"request_id": run["request_id"], "run": run["run"]}
+        return server.Response(status, body, headers)
+
+    def journal(self) -> dict[str, Any]:
+        """Returns the runs in the order in which they took effect."""
+        with self.lock:
+            return {"runs": list(self.runs)}
+
+    def _run(self, request: server.Request) -> dict[str, Any]:
+        with self.lock:
+            run = {
+                "request_id": request.headers.get("X-Request-Id", ""),
+                "attempt": request.headers.get("X-Attempt", ""),
+                "key": request.headers.get("Idempotency-Key", ""),
+                "method": request.method,
+                "path": request.path,
+                "body": request.body.decode(errors="replace"),
+                "run": len(self.runs) + 1,
+            }
+            self.runs.append(run)
+            return run
+
+
+def main() -> None:
+    """Runs the stand-in as a process."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    server.main(lambda options: Service(), parser)
+
+
+if __name__ == "__main__":
+    main()
