--- a/standins/hemlockreel_standins/processes.py
+++ b/standins/hemlockreel_standins/processes.py
@@ -91,7 +91,11 @@
         self._folder.cleanup()
 
     def add_replica(
-        self, service: str, zone: str, role: str, arguments: list[str] = []
+        self,
+        service: str,
+        zone: str,
+        role: str,
+        arguments: tuple[str, ...] = (),
     ) -> Process:
         """Starts a backend server and puts it on the host list."""
         module = "service" if role == "plain" else "engine"
@@ -190,7 +194,9 @@
     def await_ready(self, timeout_s: float = READY_TIMEOUT_S) -> None:
         """Waits until callers may use this daemon."""
         await_that(
-            lambda: self.running and get_status(self.operators, "/readyz") == 200,
+            lambda: (
+                self.running and get_status(self.operators, "/readyz") == 200
+            ),
             timeout_s,
             f"{self.name} is not ready:\n{self.log.read_text()}",
         )
