Look at a caller's socket without waiting, and put a load on real daemons

Cause: the server gives its sockets a time-out, and recv() with MSG_DONTWAIT still waits for it, up to 10 s, and then fails; a waiting worker held its grant for 10 s and then took a caller that was only silent for gone. Ruled out: overload of the stand-ins (the load was 0.8 of what they carry) and the ledger (denials began only after the workers hung). Change: poll() for a hang-up instead of recv(); poll() also in the HTTP calls, where select() fails above 1,023 descriptors. A load of callers on real processes (make faults). Conclusion: the cause is found; the load tool stays.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 export PYTHONPATH := $(CURDIR)/packages/hemlockreel:$(CURDIR)/packages/hemlockreel-daemon:$(CURDIR)/packages/hemlockreel-ctl:$(CURDIR)/standins
 
-.PHONY: install lint format unit test demo measure slopes
+.PHONY: install lint format unit test demo measure slopes faults
 
 # A virtual environment named by VENV is used as it is.
 ifeq ($(origin VENV),file)
@@ -44,3 +44,6 @@
 
 slopes: install
 	$(PY) -m hemlockreel_standins.slopes $(ARGS)
+
+faults: install
+	$(PY) -m hemlockreel_standins.faults $(ARGS)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/callers_socket.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/callers_socket.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import queue
+import select
 import socket
 import time
 from typing import Any
@@ -12,6 +13,9 @@
 USER_TIMEOUT_MS = 3000  # unacknowledged data for this long ends a connection
 
 
+GONE_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
+
 class Gone:
     """What :func:`wait` returns when the caller has left."""
 
@@ -21,6 +25,18 @@
 
     Keep-alive probes let the kernel notice a peer that went silent.
     """
+    _keep_alive(sock)
+    poller = select.poll()
+    poller.register(sock, GONE_EVENTS)
+
+    def gone() -> bool:
+        # recv() would wait for the time-out that the server set.
+        return bool(poller.poll(0))
+
+    return gone
+
+
+def _keep_alive(sock: socket.socket) -> None:
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
@@ -29,17 +45,6 @@
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
     )
 
-    def gone() -> bool:
-        try:
-            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-            return sock.recv(1, flags) == b""
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-
-    return gone
-
 
 def wait(
     box: queue.SimpleQueue, timeout_s: float, gone: Callable[[], bool]
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/http_calls.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/http_calls.py
@@ -115,9 +115,12 @@
     gone: Callable[[], bool] | None,
 ) -> bool:
     """Waits until ``sock`` can be read; false on time-out or caller gone."""
+    # poll() takes any descriptor, where select() ends at 1,023.
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
     left = timeout_s
     while left > 0:
-        if select.select([sock], [], [], min(left, POLL_S))[0]:
+        if poller.poll(1000 * min(left, POLL_S)):
             return True
         left -= POLL_S
         if gone is not None and gone():
--- /dev/null
+++ b/standins/hemlockreel_standins/caller_load.py
@@ -0,0 +1,274 @@
+"""Callers that put a load on real daemons, and what they saw.
+
+The load is open: requests start at the times of a seeded Poisson process,
+whatever becomes of the earlier ones. Each caller asks for the addresses,
+keeps the answer for its time to live and connects there itself.
+"""
+
+import collections
+from collections.abc import Iterable
+import http.client
+import json
+import math
+import random
+import threading
+import time
+from typing import NamedTuple
+
+from hdrh import histogram
+
+from . import processes
+
+REQUEST_TIMEOUT_S = 30.0
+CONNECT_TIMEOUT_S = 2.0
+MAX_RETURNS = 3  # times that a caller comes back after a refusal
+HIGHEST_MS = 60_000
+
+
+class Load(NamedTuple):
+    """What the callers ask for.
+
+    ``rate`` is in requests a second, ``duration_s`` how long they start for.
+    """
+
+    rate: float
+    duration_s: float
+    seed: int
+    model: str
+    output_tokens: int = 48
+    median_prompt_tokens: int = 400
+    organisations: int = 8
+    klass: str = ""
+
+
+class Sample(NamedTuple):
+    """What one caller saw.
+
+    ``started_s`` counts from the start of the load. ``outcome`` is
+    ``answered``, ``cut``, ``failed`` (no answer at all) or the reason of the
+    last refusal; ``first_token_s`` and ``between_s`` (mean time between
+    tokens) are infinite without tokens. ``refused_in_s`` is the time until
+    the last refusal came.
+    """
+
+    started_s: float
+    outcome: str
+    ran: str = ""
+    first_token_s: float = math.inf
+    between_s: float = math.inf
+    tokens: int = 0
+    returns: int = 0
+    refused_in_s: float = math.inf
+
+    def is_good(self, first_token_s: float, between_s: float) -> bool:
+        """Tells whether the whole answer met both targets."""
+        return (
+            self.outcome == "answered"
+            and self.first_token_s <= first_token_s
+            and self.between_s <= between_s
+        )
+
+
+class Callers:
+    """The callers of one load; ``addresses`` are those they know first."""
+
+    def __init__(self, load: Load, addresses: Iterable[str]):
+        self.load = load
+        self.samples: list[Sample] = []
+        self._known = list(addresses)
+        self._rng = random.Random(load.seed)
+        self._lock = threading.Lock()
+        self._cached: tuple[list[str], float] = ([], 0.0)
+        self._begin = 0.0
+
+    def run(self) -> list[Sample]:
+        """Runs the load to its end and returns the samples."""
+        self._begin = time.monotonic()
+        threads = []
+        due = 0.0
+        number = 0
+        while True:
+            due += self._rng.expovariate(self.load.rate)
+            if due > self.load.duration_s:
+                break
+            time.sleep(max(0.0, self._begin + due - time.monotonic()))
+            number += 1
+            body = self._make_body()
+            thread = threading.Thread(
+                target=self._call, args=(number, body), daemon=True
+            )
+            thread.start()
+            threads.append(thread)
+        for thread in threads:
+            thread.join(REQUEST_TIMEOUT_S)
+        return self.samples
+
+    def _make_body(self) -> dict:
+        sigma = 0.8  # of the log-normal length; its tail is some 10 times
+        factor = math.exp(sigma * self._rng.gauss(0.0, 1.0))
+        words = int(self.load.median_prompt_tokens * factor) + 10
+        group = self._rng.randrange(self.load.organisations)
+        prompt = f"organisation {group} shared preface " * 40
+        prompt += "".join(self._rng.choices("abcdefgh", k=4 * words))
+        return {
+            "model": self.load.model,
+            "prompt": prompt,
+            "max_tokens": self.load.output_tokens,
+            "stream": True,
+            "class": self.load.klass,
+        }
+
+    def _call(self, number: int, body: dict) -> None:
+        started = time.monotonic()
+        organisation = f"organisation-{number % self.load.organisations}"
+        sample = Sample(started - self._begin, "failed")
+        for returns in range(MAX_RETURNS + 1):
+            sample, back_s = self._try(organisation, body, sample)
+            sample = sample._replace(returns=returns)
+            if back_s is None:
+                break
+            time.sleep(back_s)
+        with self._lock:
+            self.samples.append(sample)
+
+    def _try(
+        self, organisation: str, body: dict, sample: Sample
+    ) -> tuple[Sample, float | None]:
+        """Tries once; returns also when to come back, if at all."""
+        begun = time.monotonic()
+        host, _, port = self._pick(organisation).rpartition(":")
+        link = http.client.HTTPConnection(
+            host, int(port), timeout=REQUEST_TIMEOUT_S
+        )
+        try:
+            link.request(
+                "POST",
+                "/v1/completions",
+                json.dumps(body),
+                {
+                    "Content-Type": "application/json",
+                    "X-Organisation": organisation,
+                },
+            )
+            response = link.getresponse()
+            if response.status != 200:
+                error = json.loads(response.read())["error"]
+                return sample._replace(
+                    outcome=error["reason"],
+                    ran=error["ran"],
+                    refused_in_s=time.monotonic() - begun,
+                ), error.get("retry_after_s")
+            return self._read(response, begun, sample), None
+        except ConnectionRefusedError:
+            self._forget()
+            return sample._replace(outcome="failed"), 0.5
+        except (OSError, http.client.HTTPException, ValueError):
+            return sample._replace(outcome="failed"), None
+        finally:
+            link.close()
+
+    def _read(
+        self, response: http.client.HTTPResponse, begun: float, sample: Sample
+    ) -> Sample:
+        """Reads a stream; it is whole only with its last event."""
+        times = []
+        outcome = "cut"
+        try:
+            while line := response.readline():
+                if line.startswith(b"data: [DONE]"):
+                    outcome = "answered"
+                elif line.startswith(b"data: "):
+                    event = json.loads(line[6:])
+                    choices = event.get("choices")
+                    if choices and choices[0]["text"]:
+                        times.append(time.monotonic())
+        except (OSError, http.client.HTTPException, ValueError):
+            outcome = "cut"
+        if not times:
+            return sample._replace(outcome=outcome)
+        gaps = max(len(times) - 1, 1)
+        return sample._replace(
+            outcome=outcome,
+            first_token_s=times[0] - begun,
+            between_s=(times[-1] - times[0]) / gaps,
+            tokens=len(times),
+        )
+
+    def _pick(self, caller: str) -> str:
+        """Returns an address to use, asking for new ones when due."""
+        with self._lock:
+            found, until = self._cached
+            known = list(self._known)
+        if not found or time.monotonic() > until:
+            found = self._ask(known, caller)
+        return found[hash(caller) % len(found)]
+
+    def _ask(self, known: list[str], caller: str) -> list[str]:
+        for address in known:
+            try:
+                answer = processes.get(
+                    address, f"/v1/addresses?caller={caller}"
+                )
+            except processes.HTTP_FAILURES:
+                continue
+            cached = (answer["addresses"], time.monotonic() + answer["ttl_s"])
+            with self._lock:
+                self._cached = cached
+            return answer["addresses"]
+        return known
+
+    def _forget(self) -> None:
+        with self._lock:
+            self._cached = ([], 0.0)
+
+
+class Summary(NamedTuple):
+    """The figures of a load; rates are a second, times in milliseconds."""
+
+    asked: int
+    goodput: float
+    answered: int
+    outcomes: dict[str, int]
+    first_token_ms: tuple[float, float, float]
+    between_ms: tuple[float, float, float]
+    slowest_refusal_ms: float
+    returns: int
+
+
+def summarise(
+    samples: list[Sample],
+    begin_s: float,
+    end_s: float,
+    first_token_s: float,
+    between_s: float,
+) -> Summary:
+    """Returns the figures of the requests that started in an interval."""
+    chosen = [
+        sample for sample in samples if begin_s <= sample.started_s < end_s
+    ]
+    good = sum(sample.is_good(first_token_s, between_s) for sample in chosen)
+    refusals = [
+        sample.refused_in_s
+        for sample in chosen
+        if math.isfinite(sample.refused_in_s)
+    ]
+    return Summary(
+        len(chosen),
+        good / (end_s - begin_s),
+        sum(sample.outcome == "answered" for sample in chosen),
+        dict(collections.Counter(sample.outcome for sample in chosen)),
+        _percentiles(sample.first_token_s for sample in chosen),
+        _percentiles(sample.between_s for sample in chosen),
+        1000 * max(refusals, default=0.0),
+        sum(sample.returns for sample in chosen),
+    )
+
+
+def _percentiles(seconds: Iterable[float]) -> tuple[float, float, float]:
+    """Returns the 50th, 95th and 99th percentile in milliseconds."""
+    found = histogram.HdrHistogram(1, HIGHEST_MS * 1000, 3)
+    for value in seconds:
+        if math.isfinite(value):
+            found.record_value(max(1, int(value * 1e6)))
+    at = [found.get_value_at_percentile(p) / 1000 for p in (50, 95, 99)]
+    return at[0], at[1], at[2]
--- /dev/null
+++ b/standins/hemlockreel_standins/faults.py
@@ -0,0 +1,194 @@
+"""Measures the goodput of real processes before, during and after a fault.
+
+Run by `make faults`. Each fault gets a deployment of its own with a steady
+load at `--share` of what the decode engines can carry.
+"""
+
+import argparse
+from collections.abc import Callable
+import signal
+import sys
+import threading
+import time
+from typing import NamedTuple
+
+from . import caller_load
+from . import processes
+
+REGION = "midt-norge"
+ZONES = ("trondheim-a", "trondheim-b", "orkanger")
+FIRST_TOKEN_S = 1.9
+BETWEEN_S = 0.079
+DECODE_ENGINES = 3
+BATCH = 20  # requests in an engine's memory
+STEP_S = 0.025 + 0.002 * BATCH  # of the stand-in with a full batch
+WARM_UP_S = 3.0
+BEFORE_S = 8.0
+FAULT_S = 8.0
+RECOVERY_S = 10.0  # within which goodput must be back
+AFTER_S = 8.0
+SEED = 20261203
+
+POOL = {"service": "lesar", "model": "lesar-7b", "max_output_tokens": 48}
+
+
+class Fault(NamedTuple):
+    """How a fault starts and how it ends."""
+
+    name: str
+    start: Callable[[processes.Deployment], None]
+    end: Callable[[processes.Deployment], None]
+
+
+def _set(process: processes.Process, **faults) -> None:
+    processes.put(process.address, "/_faults", faults)
+
+
+def _engine(deployment: processes.Deployment) -> processes.Process:
+    """Returns the last decode engine."""
+    return [
+        process
+        for process in deployment.processes
+        if process.name.startswith("engine")
+    ][-1]
+
+
+def _nothing(deployment: processes.Deployment) -> None:
+    """Ends a fault that has no end."""
+
+
+FAULTS = (
+    Fault("none", _nothing, _nothing),
+    Fault(
+        "store down",
+        lambda made: _set(made.store, outage=True),
+        lambda made: _set(made.store, outage=False),
+    ),
+    Fault("entry host killed", lambda made: made.daemons[1].kill(), _nothing),
+    Fault(
+        "entry host frozen",
+        lambda made: made.daemons[1].signal(signal.SIGSTOP),
+        lambda made: made.daemons[1].signal(signal.SIGCONT),
+    ),
+    Fault(
+        "decode engine frozen",
+        lambda made: _set(_engine(made), freeze=True),
+        lambda made: _set(_engine(made), freeze=False),
+    ),
+    Fault(
+        "decode engine slow",
+        lambda made: _set(_engine(made), slow_factor=3.0),
+        lambda made: _set(_engine(made), slow_factor=1.0),
+    ),
+    Fault(
+        "host list silent",
+        lambda made: _set(made.host_list, silent=True),
+        lambda made: _set(made.host_list, silent=False),
+    ),
+)
+
+
+class Row(NamedTuple):
+    """The figures of one fault."""
+
+    name: str
+    before: caller_load.Summary
+    during: caller_load.Summary
+    after: caller_load.Summary
+
+
+def capacity() -> float:
+    """Returns the requests a second that the decode engines can carry."""
+    return DECODE_ENGINES * BATCH / (POOL["max_output_tokens"] * STEP_S)
+
+
+def start() -> processes.Deployment:
+    """Starts Fjellpulver's model service with three entry hosts."""
+    made = processes.Deployment(REGION)
+    roles = ["prefill"] * 2 + ["decode"] * DECODE_ENGINES
+    for index, role in enumerate(roles):
+        made.add_replica("lesar", ZONES[index % len(ZONES)], role)
+    made.apply("modelpools", "lesar", POOL)
+    for zone in ZONES:
+        made.add_daemon(zone)
+    for daemon in made.daemons:
+        daemon.await_ready()
+    return made
+
+
+def measure(fault: Fault, rate: float) -> Row:
+    """Puts a steady load on a new deployment and causes ``fault`` in it."""
+    fault_at = WARM_UP_S + BEFORE_S
+    fault_ends = fault_at + FAULT_S
+    after_at = fault_ends + RECOVERY_S
+    ends = after_at + AFTER_S
+    with start() as made:
+        load = caller_load.Load(rate, ends, SEED, POOL["model"])
+        addresses = [daemon.callers for daemon in made.daemons]
+        callers = caller_load.Callers(load, addresses)
+        timers = [
+            threading.Timer(fault_at, fault.start, (made,)),
+            threading.Timer(fault_ends, fault.end, (made,)),
+        ]
+        for timer in timers:
+            timer.start()
+        samples = callers.run()
+
+    def between(begin_s: float, end_s: float) -> caller_load.Summary:
+        return caller_load.summarise(
+            samples, begin_s, end_s, FIRST_TOKEN_S, BETWEEN_S
+        )
+
+    return Row(
+        fault.name,
+        between(WARM_UP_S, fault_at),
+        between(fault_at, fault_ends),
+        between(after_at, ends),
+    )
+
+
+def show(row: Row) -> str:
+    """Returns the lines of one fault."""
+    lines = []
+    phases = (
+        ("before", row.before),
+        ("fault", row.during),
+        ("after", row.after),
+    )
+    for name, found in phases:
+        outcomes = " ".join(
+            f"{outcome}={count}"
+            for outcome, count in sorted(found.outcomes.items())
+        )
+        lines.append(
+            f"{row.name:22} {name:7} {found.goodput:6.2f}/s "
+            f"first token {_ms(found.first_token_ms)} "
+            f"between {_ms(found.between_ms)} "
+            f"slowest refusal {found.slowest_refusal_ms:5.0f} "
+            f"returns {found.returns:3d}  {outcomes}"
+        )
+    return "\n".join(lines)
+
+
+def _ms(percentiles: tuple[float, float, float]) -> str:
+    return "/".join(f"{value:.0f}" for value in percentiles)
+
+
+def main() -> int:
+    """Measures the chosen faults and prints a table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--share", type=float, default=0.8)
+    parser.add_argument("--only", default="", help="names, with commas")
+    options = parser.parse_args()
+    rate = options.share * capacity()
+    print(f"load {rate:.1f}/s of {capacity():.1f}/s, times in ms at 50/95/99%")
+    started = time.monotonic()
+    for fault in FAULTS:
+        if not options.only or fault.name in options.only.split(","):
+            print(show(measure(fault, rate)), flush=True)
+    print(f"took {time.monotonic() - started:.0f} s")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/standins/hemlockreel_standins/processes.py
+++ b/standins/hemlockreel_standins/processes.py
@@ -17,6 +17,7 @@
 STOP_TIMEOUT_S = 20.0
 POLL_S = 0.05
 
+HTTP_FAILURES = (urllib3.exceptions.HTTPError, OSError, ValueError)
 HTTP = urllib3.PoolManager(retries=False, timeout=10.0)
 
 
@@ -242,7 +243,7 @@
     """Returns the status of a GET, 0 when there was no answer."""
     try:
         return HTTP.request("GET", f"http://{address}{path}").status
-    except urllib3.exceptions.HTTPError:
+    except HTTP_FAILURES:
         return 0
 
 
