Add the operators' command line

Operators need to declare pools, routes, rollouts and quotas without overwriting each other, and to be told the truth when the store's answer is lost. `hemlockreel` has apply, get, watch, delete and status on the object API. Each write carries the version that was read; a lost race ends with exit code 3. A write is sent once; when its answer is lost the object is read back, and the message claims no more than what was read (exit code 4 when the outcome stays open). A watch has a deadline, and after each empty one the objects are listed again on a fresh connection.

Ruled out: retrying a conditional write after a lost answer, since the 412 that it gets cannot be told from a race that was lost.

--- /dev/null
+++ b/packages/hemlockreel-ctl/hemlockreel_ctl/command.py
@@ -0,0 +1,54 @@
+"""What each command of the command line is made of."""
+
+import argparse
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+from typing import TextIO
+
+from . import errors
+from . import results
+from . import settle
+from . import store
+
+
+class Context(NamedTuple):
+    """What a command works with; ``json`` asks for JSON instead of tables."""
+
+    client: store.Client
+    out: TextIO
+    json: bool
+
+
+class Command(NamedTuple):
+    """A subcommand: its arguments and the function that runs it.
+
+    ``run`` raises :class:`errors.UserError` when the command fails.
+    """
+
+    name: str
+    help: str
+    add_arguments: Callable[[argparse.ArgumentParser], None]
+    run: Callable[[Context, argparse.Namespace], None]
+
+
+def check_read(result: Any, label: str) -> Any:
+    """Returns the objects of a read, or raises why there are none."""
+    match result:
+        case results.Missing():
+            raise errors.UserError(f"{label} does not exist")
+        case results.Rejected():
+            raise errors.UserError(
+                f"the store refused to read {label} with status "
+                f"{result.status}: {result.reason}"
+            )
+        case results.Unavailable():
+            reason = settle.describe_unavailable(result)
+        case results.Unanswered():
+            reason = result.reason
+        case _:
+            return result
+    raise errors.UserError(
+        f"{label} can't be read, the store is not available: {reason}",
+        errors.ExitCode.UNAVAILABLE,
+    )
--- /dev/null
+++ b/packages/hemlockreel-ctl/hemlockreel_ctl/delete.py
@@ -0,0 +1,57 @@
+"""``hemlockreel delete``: deletes one declared object."""
+
+import argparse
+
+from hemlockreel import objects
+
+from . import command
+from . import errors
+from . import output
+from . import references
+from . import settle
+
+
+def _add_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("kind", choices=objects.DECLARED_KINDS, metavar="KIND")
+    parser.add_argument("name", metavar="NAME")
+    parser.add_argument(
+        "--if-version",
+        type=int,
+        metavar="VERSION",
+        help="delete only this version",
+    )
+
+
+def _run(context: command.Context, options: argparse.Namespace) -> None:
+    key = (options.kind, options.name)
+    label = "/".join(key)
+    found = command.check_read(
+        context.client.list(objects.DECLARED_KINDS), "the declared objects"
+    )
+    users = references.referrers(key, references.parse(found.items))
+    if users:
+        raise errors.UserError(
+            f"{label} was not deleted: {', '.join(users)} refer to it"
+        )
+    expected = options.if_version
+    if expected is None:
+        versions = {
+            (item.kind, item.name): item.version for item in found.items
+        }
+        if key not in versions:
+            raise errors.UserError(f"{label} does not exist")
+        expected = versions[key]
+    write = settle.Write(options.kind, options.name, None, expected)
+    result = context.client.delete(options.kind, options.name, expected)
+    settled = settle.settle(result, write, context.client)
+    if context.json:
+        shown = {"label": label, "outcome": "deleted", "note": settled.note}
+        output.write_json(context.out, shown)
+        return
+    note = f" ({settled.note})" if settled.note else ""
+    print(f"{label} deleted{note}", file=context.out)
+
+
+COMMAND = command.Command(
+    "delete", "delete one declared object", _add_arguments, _run
+)
--- /dev/null
+++ b/packages/hemlockreel-ctl/hemlockreel_ctl/output.py
@@ -0,0 +1,61 @@
+"""Writes results as JSON or as tables of text."""
+
+from collections.abc import Sequence
+import json
+from typing import Any
+from typing import TextIO
+
+from . import results
+
+COLUMN_GAP = "  "
+VALUE_WIDTH = 60  # characters of a value in a table
+
+
+def write_json(out: TextIO, value: Any) -> None:
+    """Writes ``value`` as indented JSON."""
+    print(json.dumps(value, indent=2, sort_keys=True), file=out)
+
+
+def write_line(out: TextIO, value: Any) -> None:
+    """Writes ``value`` as one line of JSON, for streams of values."""
+    print(json.dumps(value, sort_keys=True), file=out, flush=True)
+
+
+def write_table(
+    out: TextIO, titles: Sequence[str], rows: Sequence[Sequence[Any]]
+) -> None:
+    """Writes ``rows`` below ``titles`` in columns of equal width."""
+    cells = [list(titles)] + [[str(cell) for cell in row] for row in rows]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    for line in cells:
+        padded = [
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ]
+        print(COLUMN_GAP.join(padded).rstrip(), file=out)
+
+
+def as_json(item: results.Stored) -> dict[str, Any]:
+    """Returns ``item`` in the form that ``apply`` reads, with its version."""
+    return {
+        "kind": item.kind,
+        "name": item.name,
+        "version": item.version,
+        "value": item.value,
+    }
+
+
+def summary(value: Any) -> str:
+    """Returns ``value`` on one line, cut to the width of a column."""
+    if isinstance(value, dict):
+        text = " ".join(f"{key}={_plain(value[key])}" for key in sorted(value))
+    else:
+        text = _plain(value)
+    if len(text) <= VALUE_WIDTH:
+        return text
+    return text[: VALUE_WIDTH - 3] + "..."
+
+
+def _plain(value: Any) -> str:
+    if isinstance(value, str):
+        return value
+    return json.dumps(value, separators=(",", ":"))
--- /dev/null
+++ b/packages/hemlockreel-ctl/hemlockreel_ctl/store.py
@@ -0,0 +1,213 @@
+"""The client of the platform's object API.
+
+Reads are idempotent and repeated a few times. A write is sent once: whether
+it took effect after a lost answer is found out by :mod:`.settle`.
+"""
+
+from collections.abc import Iterable
+import json
+from typing import Any
+from urllib import parse
+
+import urllib3
+
+from . import results
+
+CONNECT_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 5.0
+WATCH_MARGIN_S = 2.0  # a watch is answered this long after its timeout
+READ_TRIES = 4
+BACKOFF_S = 0.2
+RETRY_AFTER_MAX_S = 5
+TOO_MANY_REQUESTS = 429
+UNAVAILABLE = 503
+
+# Errors that come before the first byte of the request is sent.
+_UNSENT = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+    urllib3.exceptions.LocationValueError,
+)
+
+
+class Client:
+    """Calls one store.
+
+    ``address`` is ``IP:PORT`` or a URL; ``read_timeout_s`` is how long an
+    answer may take.
+    """
+
+    def __init__(self, address: str, read_timeout_s: float = READ_TIMEOUT_S):
+        self._base = address if "://" in address else f"http://{address}"
+        self._pool = urllib3.PoolManager(retries=False)
+        self._read_timeout_s = read_timeout_s
+
+    @property
+    def base(self) -> str:
+        """The URL that all paths are below."""
+        return self._base
+
+    def list(self, kinds: Iterable[str]) -> results.ReadResult:
+        """Reads all objects of ``kinds`` at one revision."""
+        query = parse.urlencode({"kinds": ",".join(kinds)}, safe=",")
+        answer = self._read(f"/v1/objects?{query}")
+        if not isinstance(answer, urllib3.BaseHTTPResponse):
+            return answer
+        body = answer.json()
+        items = tuple(_stored(item) for item in body["items"])
+        return results.Listing(body["revision"], items)
+
+    def get(self, kind: str, name: str) -> results.ReadResult:
+        """Reads one object."""
+        answer = self._read(_path(kind, name))
+        if not isinstance(answer, urllib3.BaseHTTPResponse):
+            return answer
+        return _stored(answer.json()["object"])
+
+    def watch(
+        self, kinds: Iterable[str], after: int, timeout_s: float
+    ) -> results.WatchResult:
+        """Waits for changes after the revision ``after``.
+
+        The answer must come within ``timeout_s`` and a margin; a connection
+        that stays silent for longer is closed.
+        """
+        fields = {
+            "kinds": ",".join(kinds),
+            "after": after,
+            "timeout": f"{timeout_s:g}",
+        }
+        query = parse.urlencode(fields, safe=",")
+        answer = self._send(
+            "GET",
+            f"/v1/watch?{query}",
+            read_timeout_s=timeout_s + WATCH_MARGIN_S,
+        )
+        if not isinstance(answer, urllib3.BaseHTTPResponse):
+            return answer
+        if answer.status == 410:
+            return results.Expired()
+        if answer.status != 200:
+            return _refused(answer)
+        body = answer.json()
+        events = tuple(
+            results.Event(event["type"], _stored(event["object"]))
+            for event in body["events"]
+        )
+        return results.Changes(body["revision"], events)
+
+    def put(
+        self, kind: str, name: str, value: Any, expected: int
+    ) -> results.WriteResult:
+        """Writes ``value`` if the object is at the version ``expected``.
+
+        ``expected`` of 0 means that there must be no object.
+        """
+        body = json.dumps(value).encode()
+        headers = {"Content-Type": "application/json"}
+        if expected == 0:
+            headers["If-None-Match"] = "*"
+        else:
+            headers["If-Match"] = str(expected)
+        answer = self._send("PUT", _path(kind, name), headers, body)
+        return _write_result(answer)
+
+    def delete(
+        self, kind: str, name: str, expected: int
+    ) -> results.WriteResult:
+        """Deletes the object if it is at the version ``expected``."""
+        headers = {"If-Match": str(expected)}
+        answer = self._send("DELETE", _path(kind, name), headers)
+        return _write_result(answer)
+
+    def _read(self, path: str) -> Any:
+        retries = urllib3.Retry(
+            total=READ_TRIES - 1,
+            redirect=False,
+            backoff_factor=BACKOFF_S,
+            retry_after_max=RETRY_AFTER_MAX_S,
+            status_forcelist=(TOO_MANY_REQUESTS, UNAVAILABLE),
+            raise_on_status=False,
+        )
+        answer = self._send("GET", path, retries=retries)
+        if not isinstance(answer, urllib3.BaseHTTPResponse):
+            return answer
+        if answer.status == 404:
+            return results.Missing()
+        if answer.status != 200:
+            return _refused(answer)
+        return answer
+
+    def _send(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: bytes | None = None,
+        retries: urllib3.Retry | bool = False,
+        read_timeout_s: float | None = None,
+    ) -> Any:
+        """Returns the response, or why there is none."""
+        timeout = urllib3.Timeout(
+            connect=CONNECT_TIMEOUT_S,
+            read=read_timeout_s or self._read_timeout_s,
+        )
+        try:
+            return self._pool.request(
+                method,
+                self._base + path,
+                headers=headers,
+                body=body,
+                retries=retries,
+                timeout=timeout,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            return self._failure(error)
+
+    def _failure(
+        self, error: urllib3.exceptions.HTTPError
+    ) -> results.Unavailable | results.Unanswered:
+        if isinstance(error, urllib3.exceptions.MaxRetryError):
+            error = error.reason or error
+        if isinstance(error, _UNSENT):
+            return results.Unavailable(f"no connection to {self._base}")
+        if isinstance(error, urllib3.exceptions.ReadTimeoutError):
+            return results.Unanswered(f"no answer in time from {self._base}")
+        return results.Unanswered(f"{self._base} closed the connection")
+
+
+def _path(kind: str, name: str) -> str:
+    return f"/v1/objects/{kind}/{parse.quote(name, safe='')}"
+
+
+def _stored(item: dict[str, Any]) -> results.Stored:
+    return results.Stored(
+        item["kind"], item["name"], item["version"], item["value"]
+    )
+
+
+def _write_result(answer: Any) -> results.WriteResult:
+    if not isinstance(answer, urllib3.BaseHTTPResponse):
+        return answer
+    if answer.status in (200, 201):
+        body = answer.json()
+        item = body.get("object")
+        written = _stored(item) if item else None
+        return results.Written(body["revision"], written)
+    if answer.status == 404:
+        return results.Missing()
+    if answer.status == 412:
+        item = answer.json().get("object")
+        return results.Conflict(_stored(item) if item else None)
+    return _refused(answer)
+
+
+def _refused(
+    answer: urllib3.BaseHTTPResponse,
+) -> results.Rejected | results.Unavailable:
+    if answer.status in (TOO_MANY_REQUESTS, UNAVAILABLE):
+        wish = answer.headers.get("Retry-After", "")
+        after_s = float(wish) if wish.replace(".", "", 1).isdigit() else None
+        return results.Unavailable(f"it answered {answer.status}", after_s)
+    text = answer.data.decode(errors="replace").strip()
+    return results.Rejected(answer.status, text)
--- /dev/null
+++ b/packages/hemlockreel-ctl/tests/test_main.py
@@ -0,0 +1,272 @@
+import json
+import threading
+
+import pytest
+import pytest_bdd
+from pytest_bdd import parsers
+
+from hemlockreel_ctl import main
+from hemlockreel_standins import server
+from hemlockreel_standins import store
+
+pytest_bdd.scenarios("features/writes.feature", "features/reads.feature")
+
+KEY = ("modelpools", "lesar")
+
+
+def pool(margin_ms):
+    return {"service": "lesar", "model": "lesar-7b", "margin_ms": margin_ms}
+
+
+class FaultyStore(store.Store):
+    """Runs what a test wants just before or after a call of a kind."""
+
+    def __init__(self):
+        super().__init__()
+        self.before = {}
+        self.after = {}
+
+    def put(self, kind, name, value):
+        request = server.Request(
+            "PUT",
+            f"/v1/objects/{kind}/{name}",
+            {},
+            {},
+            json.dumps(value).encode(),
+        )
+        return self.respond(request)
+
+    def remove(self):
+        path = "/v1/objects/modelpools/lesar"
+        return self.respond(server.Request("DELETE", path, {}, {}, b""))
+
+    def handle(self, request):
+        call = "read" if request.method == "GET" else "write"
+        if request.path == "/v1/watch":
+            call = "watch"
+        planned = self.before.pop(call, None)
+        if planned is not None and planned() is server.DROP:
+            return server.DROP
+        response = super().handle(request)
+        planned = self.after.pop(call, None)
+        if planned is not None:
+            planned()
+        return response
+
+    def lose_then_write(self):
+        self.after["write"] = lambda: self.put(*KEY, pool(250))
+        self.faults["lose_answers"] = 1
+
+    def write_unseen(self):
+        self.faults["freeze_watches"] = True
+        self.put(*KEY, pool(250))
+
+    def remove_unseen(self):
+        self.faults["freeze_watches"] = True
+        self.remove()
+
+    def write_and_drop(self):
+        self.put(*KEY, pool(250))
+        return server.DROP
+
+    def plan(self, fault):
+        return {
+            "nothing happens": lambda: None,
+            "the store has an outage": lambda: self.set("outage", True),
+            "the rate limit is reached": lambda: self.set("rate_limit", 0.5),
+            "the answer is lost": lambda: self.set("lose_answers", 1),
+            "the connection is closed once": lambda: server.DROP,
+            "the store goes silent": lambda: self.set("silent", True),
+            "another operator writes 250": lambda: self.put(*KEY, pool(250)),
+            "another operator deletes it": self.remove,
+            "the answer is lost, then 250": self.lose_then_write,
+            "another operator writes 250 unseen": self.write_unseen,
+            "another operator deletes it unseen": self.remove_unseen,
+            "the connection is closed once and 250 came": self.write_and_drop,
+        }[fault]
+
+    def set(self, fault, value):
+        self.faults[fault] = value
+
+
+class Operator:
+    def __init__(self, address, path, capsys):
+        self.address = address
+        self.path = path
+        self.capsys = capsys
+        self.code = None
+        self.told = ""
+
+    def run(self, *words):
+        command = [*words, "--store", self.address, "--timeout", "0.3"]
+        self.code = main.main(command)
+        self.told = "".join(self.capsys.readouterr())
+
+    def apply(self, text, *words):
+        self.path.write_text(text)
+        self.run("apply", "-f", str(self.path), *words)
+
+    def apply_pool(self, margin_ms, *words):
+        value = pool(margin_ms)
+        item = {"kind": KEY[0], "name": KEY[1], "value": value}
+        self.apply(json.dumps(item), *words)
+
+
+@pytest.fixture
+def faulty():
+    made = FaultyStore()
+    yield made
+    made.closing.set()
+
+
+@pytest.fixture
+def operator(faulty, tmp_path, capsys):
+    address = server.start(faulty)
+    return Operator(address, tmp_path / "objects.json", capsys)
+
+
+@pytest_bdd.given(
+    parsers.parse(
+        "a store that holds the pool lesar with a margin of {margin:d} ms"
+    )
+)
+@pytest_bdd.given(
+    parsers.parse("a second write with a margin of {margin:d} ms")
+)
+def given_pool(faulty, margin):
+    faulty.put(*KEY, pool(margin))
+
+
+@pytest_bdd.given("a rollout of the pool lesar")
+def given_rollout(faulty):
+    faulty.put("rollouts", "lesar", {"pool": "lesar", "version": "2"})
+
+
+@pytest_bdd.given("reads that are one revision behind")
+def given_stale(faulty):
+    faulty.set("stale_reads", 1)
+
+
+@pytest_bdd.given(
+    parsers.re(r"at the (?P<call>write|read|watch) (?P<fault>.*)")
+)
+def given_fault(faulty, call, fault):
+    faulty.before[call] = faulty.plan(fault)
+
+
+@pytest_bdd.given(parsers.parse("at the second write {fault}"))
+def given_late_fault(faulty, fault):
+    faulty.after["write"] = lambda: faulty.before.update(
+        write=faulty.plan(fault)
+    )
+
+
+@pytest_bdd.when(
+    parsers.parse(
+        "the operator applies the pool with a margin of {margin:d} ms"
+    )
+)
+def when_applied(operator, margin):
+    operator.apply_pool(margin)
+
+
+@pytest_bdd.when(
+    parsers.parse(
+        "the operator applies the pool with a margin of {margin:d} ms "
+        "over version {version}"
+    )
+)
+def when_applied_over(operator, margin, version):
+    operator.apply_pool(margin, "--if-version", version)
+
+
+@pytest_bdd.when(
+    parsers.parse("the operator tries the pool with a margin of {margin:d} ms")
+)
+def when_tried(operator, margin):
+    operator.apply_pool(margin, "--dry-run", "--diff")
+
+
+@pytest_bdd.when(parsers.re("the operator applies the file (?P<text>.*)"))
+def when_file_applied(operator, text):
+    operator.apply(text)
+
+
+@pytest_bdd.when(parsers.parse("the operator runs: {command}"))
+def when_run(operator, command):
+    operator.run(*command.split())
+
+
+@pytest_bdd.when("the operator reads from a store that nobody serves")
+def when_unserved(operator):
+    opened, operator.address = server.open_server(store.Store())
+    opened.server_close()
+    operator.run("get", "modelpools")
+
+
+@pytest_bdd.then(parsers.parse("the exit code is {code:d}"))
+def then_code(operator, code):
+    assert operator.code == code, operator.told
+    assert "Traceback" not in operator.told
+
+
+@pytest_bdd.then(parsers.re('the operator is told "(?P<message>.*)"'))
+def then_told(operator, message):
+    assert message in operator.told
+
+
+@pytest_bdd.then(parsers.parse("the store holds a margin of {margin} ms"))
+def then_margin(faulty, margin):
+    found = faulty.objects.get(KEY)
+    held = "none" if found is None else str(found["value"]["margin_ms"])
+    assert held == margin
+
+
+@pytest_bdd.then(parsers.parse("the store is at revision {revision:d}"))
+def then_revision(faulty, revision):
+    assert faulty.revision == revision
+
+
+@pytest_bdd.then(parsers.parse("the margins that were seen are {margins}"))
+def then_margins(operator, margins):
+    seen = []
+    for line in operator.told.splitlines():
+        event = json.loads(line)
+        gone = event["type"] == "delete"
+        seen.append("gone" if gone else event["object"]["value"]["margin_ms"])
+    assert " ".join(map(str, seen)) == margins
+
+
+class RacingStore(store.Store):
+    """Holds back two writes until both have come."""
+
+    def __init__(self):
+        super().__init__()
+        self.barrier = threading.Barrier(2, timeout=30)
+
+    def handle(self, request):
+        if request.method == "PUT":
+            self.barrier.wait()
+        return super().handle(request)
+
+
+def test_two_operators_race_and_one_wins(tmp_path):
+    address = server.start(RacingStore())
+    codes = []
+
+    def apply(margin_ms):
+        path = tmp_path / f"{margin_ms}.json"
+        item = {"kind": KEY[0], "name": KEY[1], "value": pool(margin_ms)}
+        path.write_text(json.dumps(item))
+        words = ["apply", "-f", str(path), "--store", address]
+        codes.append(main.main(words))
+
+    operators = [
+        threading.Thread(target=apply, args=(margin_ms,))
+        for margin_ms in (201, 202)
+    ]
+    for each in operators:
+        each.start()
+    for each in operators:
+        each.join()
+    assert sorted(codes) == [0, 3]
