--- a/standins/hemlockreel_standins/processes.py
+++ b/standins/hemlockreel_standins/processes.py
@@ -255,3 +255,13 @@
         headers={"Content-Type": "application/json"},
     )
     return answer.json()
+
+
+def stop_all(running: list[Process], timeout_s: float) -> list[int]:
+    """Sends SIGTERM to all at once; returns the exit codes.
+
+    Raises ``subprocess.TimeoutExpired`` when one does not end in time.
+    """
+    for process in running:
+        process.signal(signal.SIGTERM)
+    return [process.wait(timeout_s) for process in running]
