--- a/packages/hemlockreel-daemon/hemlockreel_daemon/hostlist_client.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/hostlist_client.py
@@ -1,17 +1,15 @@
-"""Client of the platform's list of hosts."""
-
-from typing import Any
+"""The client of the platform's host list."""
 
 import msgspec
-import urllib3
 
 from hemlockreel import actions
 from hemlockreel import events
 from hemlockreel import replicas
 
+from . import http_calls
+
 PATH = "/v1/hosts"
 ENTRY_ROLE = "entry"
-ENTRY_SERVICE = "hemlockreel"
 NOT_READ = events.HostsListed(None)
 
 
@@ -24,73 +22,42 @@
     role: str
 
 
-class _Hosts(msgspec.Struct):
-    hosts: list[_Host]
-
+def read(address: str, action: actions.ListHosts) -> events.HostsListed:
+    """Reads the list once on a fresh connection.
 
-class HostListClient:
-    """Reads the host list at ``address`` (``IP:PORT``).
-
-    Each read has a connection of its own, since a kept one may be silent for
-    good.
+    The hosts are ``None`` when the list could not be read.
     """
+    answer = http_calls.call_json(
+        address, "GET", PATH, timeout_s=action.timeout_s
+    )
+    if isinstance(answer, http_calls.Failed) or answer[0] != 200:
+        return NOT_READ
+    try:
+        hosts = msgspec.convert(answer[1]["hosts"], list[_Host])
+    except (msgspec.ValidationError, KeyError, TypeError):
+        return NOT_READ
+    entries = [
+        host.address
+        for host in hosts
+        if host.role == ENTRY_ROLE and host.state == "live"
+    ]
+    found = [_replica(host) for host in hosts if _is_replica(host)]
+    return events.HostsListed(tuple(found), tuple(entries))
 
-    def __init__(self, address: str):
-        self._address = address
-
-    def read(self, action: actions.ListHosts) -> events.HostsListed:
-        """Returns the list; blocks for ``timeout_s`` at most.
-
-        The hosts are ``None`` when the list could not be read.
-        """
-        host, _, port = self._address.rpartition(":")
-        pool = urllib3.HTTPConnectionPool(host, int(port), retries=False)
-        try:
-            response = pool.request(
-                "GET",
-                PATH,
-                timeout=urllib3.Timeout(total=action.timeout_s),
-                retries=False,
-            )
-            if response.status != 200:
-                return NOT_READ
-            listed = msgspec.json.decode(response.data, type=_Hosts)
-        except (
-            urllib3.exceptions.HTTPError,
-            OSError,
-            msgspec.DecodeError,
-        ):
-            return NOT_READ
-        finally:
-            pool.close()
-        return _convert(listed.hosts)
 
+def _is_replica(host: _Host) -> bool:
+    """Tells whether the host has a role that this version knows."""
+    return host.role in {role.value for role in replicas.Role}
 
-def _convert(hosts: list[_Host]) -> events.HostsListed:
-    entries = []
-    found = []
-    for host in hosts:
-        if host.service == ENTRY_SERVICE or host.role == ENTRY_ROLE:
-            if host.state == "live":
-                entries.append(host.address)
-            continue
-        replica = _replica(host)
-        if replica is not None:
-            found.append(replica)
-    return events.HostsListed(tuple(found), tuple(entries))
 
-
-def _replica(host: _Host) -> replicas.Replica | None:
-    """Returns the replica, ``None`` for a role that is not known."""
-    fields: dict[str, Any] = {
-        "address": host.address,
-        "service": host.service,
-        "zone": host.zone,
-        "region": host.region,
-    }
-    try:
-        role = replicas.Role(host.role)
-    except ValueError:
-        return None
-    # A state that is not known is taken as leaving: no new work goes there.
-    return replicas.Replica(**fields, role=role, leaving=host.state != "live")
+def _replica(host: _Host) -> replicas.Replica:
+    return replicas.Replica(
+        host.address,
+        host.service,
+        host.zone,
+        host.region,
+        replicas.Role(host.role),
+        # A state that is not known is taken as leaving: nothing new goes
+        # there.
+        host.state != "live",
+    )
--- a/packages/hemlockreel-daemon/tests/test_hostlist_client.py
+++ b/packages/hemlockreel-daemon/tests/test_hostlist_client.py
@@ -21,8 +21,7 @@
 class World:
     def __init__(self):
         self.list = hostlist.HostList()
-        address = server.start(self.list)
-        self.client = hostlist_client.HostListClient(address)
+        self.address = server.start(self.list)
         self.listed = None
         self.took_s = 0.0
 
@@ -63,7 +62,9 @@
 @when("the list is read")
 def read(world):
     started = time.monotonic()
-    world.listed = world.client.read(actions.ListHosts(TIMEOUT_S))
+    world.listed = hostlist_client.read(
+        world.address, actions.ListHosts(TIMEOUT_S)
+    )
     world.took_s = time.monotonic() - started
 
 
--- a/packages/hemlockreel-daemon/tests/test_store_client.py
+++ b/packages/hemlockreel-daemon/tests/test_store_client.py
@@ -23,7 +23,7 @@
 class World:
     def __init__(self):
         self.store = store.Store()
-        self.client = store_client.StoreClient(server.start(self.store))
+        self.address = server.start(self.store)
         self.answered = None
         self.took_s = 0.0
 
@@ -31,11 +31,11 @@
         action = actions.CallStore(
             "call", method, path, value, expected, TIMEOUT_S
         )
-        self.time(self.client.call, action)
+        self.time(action)
 
-    def time(self, function, *args):
+    def time(self, action):
         started = time.monotonic()
-        self.answered = function(*args)
+        self.answered = store_client.call(self.address, action)
         self.took_s = time.monotonic() - started
 
 
@@ -89,13 +89,14 @@
     def put():
         time.sleep(CHANGE_AFTER_S)
         if change != "none":
-            client = store_client.StoreClient(world.client._address)
             path = f"/v1/objects/{change}/b"
-            client.call(actions.CallStore("put", "PUT", path, {}))
+            action = actions.CallStore("put", "PUT", path, {})
+            store_client.call(world.address, action)
 
     thread = threading.Thread(target=put)
     thread.start()
-    world.time(world.client.watch, (kind,), after, 1.0, 0.5)
+    path = f"/v1/watch?kinds={kind}&after={after}&timeout=1"
+    world.time(actions.CallStore("watch", "GET", path, timeout_s=1.5))
     thread.join()
 
 
