Find dead members by probing the own region

Cause: the member table was filled by nobody, so a killed daemon stayed in live() for ever. Ruled out: timeouts on the host list (it lags), a heartbeat of each to each (grows with the fleet), and random probes alone (the time to the first probe has no bound). Each daemon now pings its successor on a hash ring every 0.5 s and the others in turn every second, asks others to try, and accuses a silent member. Before it removes one it asks the whole region for a sign of life; when most members are silent, it is itself cut off and removes nobody. A pause of its own makes it drop its open questions.

--- a/packages/hemlockreel/hemlockreel/core.py
+++ b/packages/hemlockreel/hemlockreel/core.py
@@ -16,10 +16,12 @@
 from . import hosts
 from . import membership
 from . import owner
+from . import probes
 
 # Membership goes first, so that the others see the table after this event.
 CONTROLLERS = (
     membership,
+    probes,
     hosts,
     configuration,
     owner,
--- a/packages/hemlockreel/hemlockreel/membership.py
+++ b/packages/hemlockreel/hemlockreel/membership.py
@@ -1,20 +1,56 @@
-"""Which daemons are alive."""
+"""Which daemons of the own region are alive.
+
+The table holds what this daemon believes of the other daemons of its region.
+Updates ride on the messages of the failure detector (:mod:`probes`), spread
+from daemon to daemon, and are merged by :mod:`precedence`. The seeds and the
+platform's host list are the way in; whole tables are compared now and then.
+The reasons are in docs/design/membership.md.
+"""
 
 from collections.abc import Iterable
 import functools
+import math
 from typing import Any
 
+import xxhash
+
 from . import actions
 from . import board as boards
+from . import events
 from . import messages
+from . import precedence
+
+MAX_UPDATES = 6  # updates on one message
+FORGET_S = 60.0  # how long a gone member is remembered
+JOIN_PERIOD_S = 1.0
+JOIN_FANOUT = 3
+FIRST_SYNC_S = 1.0  # doubles up to the period below
+SYNC_PERIOD_S = 15.0
+SPREAD_FACTOR = 3  # copies of an update per doubling of the table
 
 
 class State:
-    """The member table of this daemon, by peer address."""
+    """The member table of this daemon, by peer address.
+
+    ``unreachable`` members are not removed, since this daemon itself seems
+    to be cut off: see :mod:`probes`. ``outbox`` counts how often an update
+    about a member is still to be passed on.
+    """
 
     def __init__(self):
         self.members: dict[str, messages.MemberUpdate] = {}
         self.draining = False
+        self.leaving = False
+        self.configuration = 0
+        self.incarnation = 0
+        self.unreachable: set[str] = set()
+        self.changed_at: dict[str, float] = {}
+        self.outbox: dict[str, int] = {}
+        self.entries: tuple[str, ...] = ()
+        self.announced: tuple[bool, int] = (False, 0)
+        self.next_join = 0.0
+        self.next_sync = 0.0
+        self.sync_period = FIRST_SYNC_S
 
 
 def table(board: boards.Board) -> State:
@@ -27,37 +63,297 @@
 ) -> list[messages.MemberUpdate]:
     """Returns the members that are not known dead, this daemon included.
 
-    With ``region`` only the members of that region.
+    The table holds the own region only, so another ``region`` has none.
     """
     found = [own_update(board)]
     for member in table(board).members.values():
-        if member.host == board.identity.host:
-            continue
-        if member.state not in ("alive", "suspect"):
-            continue
-        if region is None or member.region == region:
+        if member.state not in precedence.GONE:
             found.append(member)
-    return found
+    if region is None:
+        return found
+    return [member for member in found if member.region == region]
+
+
+def reachable(board: boards.Board) -> list[messages.MemberUpdate]:
+    """Returns the live members that are not out of reach from here."""
+    missing = table(board).unreachable
+    return [member for member in live(board) if member.host not in missing]
+
+
+def isolated(board: boards.Board) -> bool:
+    """Returns whether this daemon seems cut off from most of its region.
+
+    It then removes no member, and must not conclude from a member's silence
+    that a request has no caller any more.
+    """
+    return bool(table(board).unreachable)
 
 
 def own_update(board: boards.Board) -> messages.MemberUpdate:
     """Returns what this daemon tells of itself."""
     identity = board.identity
+    state = table(board)
     return messages.MemberUpdate(
         host=identity.host,
         zone=identity.zone,
         region=identity.region,
         callers=identity.callers,
         epoch=identity.epoch,
-        incarnation=0,
-        state="alive",
-        draining=table(board).draining,
+        incarnation=state.incarnation,
+        state=precedence.LEFT if state.leaving else precedence.ALIVE,
+        draining=state.draining,
+        configuration=state.configuration,
     )
 
 
+def find(board: boards.Board, host: str) -> messages.MemberUpdate | None:
+    """Returns what is believed of ``host``, ``None`` if it is unknown."""
+    if host == board.identity.host:
+        return own_update(board)
+    return table(board).members.get(host)
+
+
+def digest(board: boards.Board) -> int:
+    """Returns a number that two equal tables share, never 0."""
+    total = 0
+    for member in [own_update(board), *table(board).members.values()]:
+        rank = precedence.rank(member)
+        total ^= xxhash.xxh64_intdigest(f"{member.host}{rank}".encode())
+    return total >> 1 | 1
+
+
+# Updates
+
+
+def apply(
+    board: boards.Board,
+    updates: Iterable[messages.MemberUpdate],
+    now: float,
+) -> Iterable[actions.Action]:
+    """Merges what a peer believes into the table."""
+    for update in updates:
+        if update.region != board.identity.region:
+            yield actions.Count("foreign_member_updates")
+        elif update.host == board.identity.host:
+            yield from _contradict(board, update)
+        else:
+            yield from put(board, update, now)
+
+
+def put(
+    board: boards.Board, update: messages.MemberUpdate, now: float
+) -> Iterable[actions.Action]:
+    """Takes over ``update`` about another daemon if it is news."""
+    state = table(board)
+    known = state.members.get(update.host)
+    if not precedence.supersedes(update, known):
+        return
+    state.members[update.host] = update
+    if update.state != precedence.SUSPECT:
+        state.unreachable.discard(update.host)
+    _spread(state, update.host)
+    if known is not None and known.state == update.state:
+        return
+    state.changed_at[update.host] = now
+    yield actions.Count("member_changes", 1, (update.state,))
+    fields = {"member": update.host, "state": update.state}
+    yield actions.Log("member", fields)
+
+
+def _contradict(
+    board: boards.Board, update: messages.MemberUpdate
+) -> Iterable[actions.Action]:
+    """Raises the own incarnation above a rumour that this run is gone."""
+    state = table(board)
+    if update.epoch > board.identity.epoch:
+        yield actions.Count("epoch_conflicts")
+        return
+    if not precedence.supersedes(update, own_update(board)):
+        if precedence.rank(update) < precedence.rank(own_update(board)):
+            _spread(state, board.identity.host)
+        return
+    state.incarnation = update.incarnation + 1
+    _spread(state, board.identity.host)
+    yield actions.Count("refutations")
+
+
+def _spread(state: State, host: str) -> None:
+    """Lets the next messages carry what is believed of ``host``."""
+    doublings = math.ceil(math.log2(len(state.members) + 2))
+    state.outbox[host] = SPREAD_FACTOR * doublings
+
+
+def pick_updates(
+    board: boards.Board, to: str = ""
+) -> list[messages.MemberUpdate]:
+    """Returns the updates for one message, those least often sent first.
+
+    What is believed of the receiver ``to`` goes first unless it is good, so
+    that the receiver can contradict it.
+    """
+    state = table(board)
+    picked = []
+    told = state.members.get(to)
+    if told is not None and told.state != precedence.ALIVE:
+        picked.append(told)
+    waiting = sorted(state.outbox.items(), key=lambda item: -item[1])
+    for host, left in waiting[: MAX_UPDATES - len(picked)]:
+        update = find(board, host)
+        if update is not None and update not in picked:
+            picked.append(update)
+        if left > 1:
+            state.outbox[host] = left - 1
+        else:
+            del state.outbox[host]
+    return picked
+
+
+# Leaving
+
+
+def leave(board: boards.Board) -> Iterable[actions.Action]:
+    """Tells all members that this daemon stops; the last thing it says."""
+    state = table(board)
+    state.leaving = True
+    yield from tell_all(board, own_update(board))
+
+
+def tell_all(
+    board: boards.Board, update: messages.MemberUpdate
+) -> Iterable[actions.Action]:
+    """Sends ``update`` to all live members at once.
+
+    It is for news that must not wait for its way from daemon to daemon.
+    """
+    for member in live(board):
+        if member.host not in (board.identity.host, update.host):
+            yield actions.Send(
+                member.host,
+                messages.Gossip(
+                    sender=board.identity.host,
+                    epoch=board.identity.epoch,
+                    updates=[update],
+                ),
+            )
+
+
+# Events
+
+
 @functools.singledispatch
 def handle(
     event: Any, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
     """Handles events of the membership; all others yield nothing."""
     return ()
+
+
+@handle.register
+def _gossip(
+    event: messages.Gossip, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    yield from apply(board, event.updates, now)
+
+
+@handle.register
+def _sync_request(
+    event: messages.SyncRequest, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    yield from apply(board, event.updates, now)
+    if event.digest and event.digest == digest(board):
+        return
+    sync = messages.Sync(
+        sender=board.identity.host,
+        epoch=board.identity.epoch,
+        updates=[own_update(board), *table(board).members.values()],
+    )
+    yield actions.Send(event.sender, sync)
+
+
+@handle.register
+def _sync(
+    event: messages.Sync, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    yield from apply(board, event.updates, now)
+
+
+@handle.register
+def _listed(
+    event: events.HostsListed, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    if event.hosts is not None:
+        table(board).entries = event.entries
+    return ()
+
+
+@handle.register
+def _tick(
+    event: events.Tick, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    state = table(board)
+    _announce_changes(board)
+    for host, changed_at in list(state.changed_at.items()):
+        if changed_at + FORGET_S > now:
+            continue
+        del state.changed_at[host]
+        if state.members[host].state in precedence.GONE:
+            del state.members[host]
+            state.outbox.pop(host, None)
+    if now >= state.next_join:
+        state.next_join = now + JOIN_PERIOD_S
+        yield from _join(board)
+    if now >= state.next_sync:
+        # The jitter keeps the daemons from comparing all at once.
+        jitter = board.rng.uniform(0.8, 1.2)
+        state.next_sync = now + state.sync_period * jitter
+        state.sync_period = min(2 * state.sync_period, SYNC_PERIOD_S)
+        yield from _compare(board)
+
+
+def _announce_changes(board: boards.Board) -> None:
+    """Raises the incarnation when the own update says something new."""
+    state = table(board)
+    current = (state.draining, state.configuration)
+    if current != state.announced:
+        state.announced = current
+        state.incarnation += 1
+        _spread(state, board.identity.host)
+
+
+def _join(board: boards.Board) -> Iterable[actions.Action]:
+    """Asks some of the daemons that should be there but are not known."""
+    state = table(board)
+    unknown = [
+        host
+        for host in dict.fromkeys([*board.seeds, *state.entries])
+        if host != board.identity.host and host not in state.members
+    ]
+    chosen = board.rng.sample(unknown, min(JOIN_FANOUT, len(unknown)))
+    for host in chosen:
+        yield _request(board, host, 0)
+
+
+def _compare(board: boards.Board) -> Iterable[actions.Action]:
+    """Compares the table with that of one other member."""
+    others = [
+        member.host
+        for member in reachable(board)
+        if member.host != board.identity.host
+    ]
+    if others:
+        yield _request(board, board.rng.choice(others), digest(board))
+
+
+def request_sync(board: boards.Board, host: str) -> actions.Send:
+    """Asks ``host`` for its table, since it is not known here."""
+    return _request(board, host, 0)
+
+
+def _request(board: boards.Board, host: str, own: int) -> actions.Send:
+    request = messages.SyncRequest(
+        sender=board.identity.host,
+        epoch=board.identity.epoch,
+        updates=[own_update(board)],
+        digest=own,
+    )
+    return actions.Send(host, request)
--- a/packages/hemlockreel/hemlockreel/messages.py
+++ b/packages/hemlockreel/hemlockreel/messages.py
@@ -63,9 +63,13 @@
 
 
 class SyncRequest(Message):
-    """Asks for the whole member table, sent when joining."""
+    """Asks for the whole member table, sent when joining.
+
+    A table whose digest equals ``digest`` is not sent; 0 equals none.
+    """
 
     updates: list[MemberUpdate] = []
+    digest: int = 0
 
 
 class Sync(Message):
@@ -74,6 +78,12 @@
     updates: list[MemberUpdate] = []
 
 
+class Gossip(Message):
+    """Updates that do not wait for the next ping."""
+
+    updates: list[MemberUpdate] = []
+
+
 # Configuration
 
 
@@ -228,6 +238,7 @@
     | Ack
     | SyncRequest
     | Sync
+    | Gossip
     | ConfigurationOffer
     | ConfigurationRequest
     | ConfigurationUpdate
--- /dev/null
+++ b/packages/hemlockreel/hemlockreel/probes.py
@@ -0,0 +1,413 @@
+"""The failure detector: finds the members that no longer answer.
+
+Twice a second a daemon pings its successor on a ring of all members, so that
+a single loss is noticed after a bounded time, and in turn each other member,
+so that several losses beside each other are found too. A member that answers
+neither directly nor through others is suspected; this daemon accuses it, asks
+the whole region for a sign of life, and removes it only if most members gave
+one. Otherwise it is this daemon that is cut off, and it removes nobody.
+"""
+
+from collections.abc import Iterable
+import functools
+from typing import Any
+from typing import NamedTuple
+
+import msgspec
+
+from . import actions
+from . import board as boards
+from . import events
+from . import membership
+from . import messages
+from . import precedence
+from . import rendezvous
+
+RING_PERIOD_S = 0.5
+RANDOM_PERIOD_S = 1.0
+DIRECT_TIMEOUT_S = 0.3
+INDIRECT_TIMEOUT_S = 0.3
+INDIRECT_PROBES = 3
+SURVEY_TIMEOUT_S = 0.7
+ACCUSED_S = 0.9  # from the accusation to the removal
+FALLBACK_S = 3.0  # the same where another daemon is the accuser
+PAUSE_S = 1.0  # a longer gap between ticks means that this daemon stood still
+MASS = 3  # fewer losses at once are never taken for a cut
+RECHECK_PERIOD_S = 2.0
+RECHECK_FANOUT = 16
+
+
+class Probe(NamedTuple):
+    """A ping that waits for its answer."""
+
+    target: str
+    due: float
+    indirect: bool = False
+
+
+class Relay(NamedTuple):
+    """A ping that was sent for another daemon."""
+
+    requester: str
+    seq: int
+    due: float
+
+
+class Survey(NamedTuple):
+    """The question to all members whether they are there."""
+
+    asked: frozenset[str]
+    due: float
+
+
+class State:
+    """What the failure detector waits for.
+
+    ``removals`` maps a suspected member to the time of its removal;
+    ``accused`` are those that this daemon was the one to suspect.
+    """
+
+    def __init__(self):
+        self.seq = 0
+        self.probes: dict[int, Probe] = {}
+        self.relays: dict[int, Relay] = {}
+        self.removals: dict[str, float] = {}
+        self.accused: set[str] = set()
+        self.survey: Survey | None = None
+        self.answered: set[str] = set()
+        self.order: list[str] = []
+        self.next_ring = 0.0
+        self.next_random = 0.0
+        self.next_recheck = 0.0
+        self.last_tick: float | None = None
+
+
+@functools.singledispatch
+def handle(
+    event: Any, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    """Handles events of the failure detector; all others yield nothing."""
+    return ()
+
+
+# Messages
+
+
+@handle.register
+def _ping(
+    event: messages.Ping, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    yield from membership.apply(board, event.updates, now)
+    host = board.identity.host
+    yield actions.Send(
+        event.sender, _ack(board, event.seq, host, event.sender)
+    )
+    if membership.find(board, event.sender) is None:
+        yield membership.request_sync(board, event.sender)
+
+
+@handle.register
+def _ping_request(
+    event: messages.PingRequest, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    yield from membership.apply(board, event.updates, now)
+    state = board.state(State)
+    ping = _ping_to(board, event.target)
+    due = now + DIRECT_TIMEOUT_S + INDIRECT_TIMEOUT_S
+    state.relays[ping.message.seq] = Relay(event.sender, event.seq, due)
+    yield ping
+
+
+@handle.register
+def _acked(
+    event: messages.Ack, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    yield from membership.apply(board, event.updates, now)
+    state = board.state(State)
+    relay = state.relays.pop(event.seq, None)
+    if relay is not None:
+        ack = _ack(board, relay.seq, event.target, relay.requester)
+        yield actions.Send(relay.requester, ack)
+    probe = state.probes.pop(event.seq, None)
+    if probe is None or probe.target != event.target:
+        return
+    state.answered.add(event.target)
+    state.removals.pop(event.target, None)
+    state.accused.discard(event.target)
+    membership.table(board).unreachable.discard(event.target)
+
+
+def _ack(board: boards.Board, seq: int, target: str, to: str) -> messages.Ack:
+    return messages.Ack(
+        sender=board.identity.host,
+        epoch=board.identity.epoch,
+        seq=seq,
+        target=target,
+        updates=membership.pick_updates(board, to),
+    )
+
+
+def _ping_to(board: boards.Board, target: str) -> actions.Send:
+    state = board.state(State)
+    state.seq += 1
+    ping = messages.Ping(
+        sender=board.identity.host,
+        epoch=board.identity.epoch,
+        seq=state.seq,
+        updates=membership.pick_updates(board, target),
+    )
+    return actions.Send(target, ping)
+
+
+# Time
+
+
+@handle.register
+def _tick(
+    event: events.Tick, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    state = board.state(State)
+    _forgive_pause(state, now)
+    if membership.table(board).leaving:
+        return
+    yield from _follow_up(board, now)
+    yield from _finish_survey(board, now)
+    yield from _remove(board, now)
+    if now >= state.next_ring:
+        state.next_ring = now + RING_PERIOD_S
+        yield from _probe(board, _successor(board), now)
+    if now >= state.next_random:
+        state.next_random = now + RANDOM_PERIOD_S
+        yield from _probe(board, _next_in_turn(board), now)
+    if now >= state.next_recheck:
+        state.next_recheck = now + RECHECK_PERIOD_S
+        yield from _recheck(board, now)
+
+
+def _forgive_pause(state: State, now: float) -> None:
+    """Drops all open questions after this daemon itself stood still."""
+    last = now if state.last_tick is None else state.last_tick
+    state.last_tick = now
+    if now - last < PAUSE_S:
+        return
+    state.probes.clear()
+    state.relays.clear()
+    state.survey = None
+    state.removals = {
+        host: due + now - last for host, due in state.removals.items()
+    }
+
+
+def _others(board: boards.Board) -> list[str]:
+    """Returns the members that should answer a ping."""
+    own = board.identity.host
+    missing = membership.table(board).unreachable
+    return [
+        member.host
+        for member in membership.live(board)
+        if member.host != own and member.host not in missing
+    ]
+
+
+def _successor(board: boards.Board) -> str | None:
+    """Returns the next member on the ring that is not suspected."""
+    # The ring is in hash order, as neighbours by address may share a rack.
+    suspected = board.state(State).removals
+    own = rendezvous.score("ring", board.identity.host)
+    ring = [
+        (rendezvous.score("ring", host), host)
+        for host in _others(board)
+        if host not in suspected
+    ]
+    above = [place for place in ring if place[0] > own]
+    return min(above or ring, default=(0, None))[1]
+
+
+def _next_in_turn(board: boards.Board) -> str | None:
+    """Returns a random member; each one comes once before any comes twice."""
+    state = board.state(State)
+    usable = set(_others(board))
+    while state.order:
+        host = state.order.pop()
+        if host in usable:
+            return host
+    state.order = sorted(usable)
+    board.rng.shuffle(state.order)
+    return state.order.pop() if state.order else None
+
+
+def _probe(
+    board: boards.Board, target: str | None, now: float
+) -> Iterable[actions.Action]:
+    if target is None:
+        return
+    ping = _ping_to(board, target)
+    probe = Probe(target, now + DIRECT_TIMEOUT_S)
+    board.state(State).probes[ping.message.seq] = probe
+    yield ping
+
+
+def _follow_up(board: boards.Board, now: float) -> Iterable[actions.Action]:
+    """Goes on with the pings that were not answered in time."""
+    state = board.state(State)
+    for seq, probe in list(state.probes.items()):
+        if probe.due > now:
+            continue
+        if probe.indirect:
+            del state.probes[seq]
+            yield from _suspect(board, probe.target, now)
+        else:
+            due = now + INDIRECT_TIMEOUT_S
+            state.probes[seq] = Probe(probe.target, due, True)
+            yield from _ask_helpers(board, seq, probe.target)
+    for seq, relay in list(state.relays.items()):
+        if relay.due <= now:
+            del state.relays[seq]
+
+
+def _ask_helpers(
+    board: boards.Board, seq: int, target: str
+) -> Iterable[actions.Action]:
+    helpers = [host for host in _others(board) if host != target]
+    count = min(INDIRECT_PROBES, len(helpers))
+    for helper in board.rng.sample(helpers, count):
+        request = messages.PingRequest(
+            sender=board.identity.host,
+            epoch=board.identity.epoch,
+            seq=seq,
+            target=target,
+            updates=membership.pick_updates(board, helper),
+        )
+        yield actions.Send(helper, request)
+
+
+# Suspicion
+
+
+def _suspect(
+    board: boards.Board, host: str, now: float
+) -> Iterable[actions.Action]:
+    """Accuses ``host`` and asks all members for a sign of life."""
+    state = board.state(State)
+    known = membership.find(board, host)
+    if known is None or known.state in precedence.GONE:
+        return
+    if host in state.accused or host in membership.table(board).unreachable:
+        return
+    state.accused.add(host)
+    state.removals[host] = now + ACCUSED_S
+    yield actions.Count("suspicions")
+    if state.survey is None:
+        others = _others(board)
+        state.answered = set()
+        state.survey = Survey(frozenset(others), now + SURVEY_TIMEOUT_S)
+        for other in others:
+            yield from _probe(board, other, now)
+
+
+def _finish_survey(
+    board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    """Concludes from the survey who is cut off: the others, or we."""
+    state = board.state(State)
+    survey = state.survey
+    if survey is None or survey.due > now:
+        return
+    state.survey = None
+    silent = survey.asked - state.answered
+    for seq, probe in list(state.probes.items()):
+        if probe.target in silent:
+            del state.probes[seq]
+    if len(silent) >= MASS and 2 * len(silent) > len(survey.asked):
+        yield from _isolate(board, silent)
+        return
+    for host in sorted(silent):
+        yield from _doubt(board, host, now)
+
+
+def _doubt(
+    board: boards.Board, host: str, now: float
+) -> Iterable[actions.Action]:
+    """Spreads the suspicion, so that ``host`` can contradict it."""
+    state = board.state(State)
+    known = membership.table(board).members.get(host)
+    if known is None or known.state != precedence.ALIVE:
+        return
+    state.accused.add(host)
+    state.removals.setdefault(host, now + ACCUSED_S)
+    suspected = msgspec.structs.replace(known, state=precedence.SUSPECT)
+    yield from membership.put(board, suspected, now)
+
+
+def _isolate(
+    board: boards.Board, silent: Iterable[str]
+) -> Iterable[actions.Action]:
+    """Keeps the silent members in the table, marked out of reach."""
+    state = board.state(State)
+    table = membership.table(board)
+    if not table.unreachable:
+        fields = {"silent": len(list(silent))}
+        yield actions.Log("isolated", fields)
+    yield actions.Count("isolations")
+    table.unreachable |= set(silent)
+    for host in silent:
+        state.removals.pop(host, None)
+        state.accused.discard(host)
+
+
+def _remove(board: boards.Board, now: float) -> Iterable[actions.Action]:
+    """Removes the suspected members whose time is over."""
+    state = board.state(State)
+    table = membership.table(board)
+    _track_suspects(board, now)
+    for host, due in list(state.removals.items()):
+        known = table.members.get(host)
+        if known is None or known.state in precedence.GONE:
+            del state.removals[host]
+            state.accused.discard(host)
+        elif due <= now and state.survey is None:
+            del state.removals[host]
+            state.accused.discard(host)
+            dead = msgspec.structs.replace(known, state=precedence.DEAD)
+            yield from membership.put(board, dead, now)
+            yield from membership.tell_all(board, dead)
+        elif host in state.accused and not _probed(state, host):
+            yield from _probe(board, host, now)
+
+
+def _probed(state: State, host: str) -> bool:
+    """Returns whether a ping to ``host`` is on its way."""
+    return any(probe.target == host for probe in state.probes.values())
+
+
+def _track_suspects(board: boards.Board, now: float) -> None:
+    """Times the suspicions of others; forgets those that were refuted."""
+    state = board.state(State)
+    table = membership.table(board)
+    for member in table.members.values():
+        host = member.host
+        if member.state == precedence.SUSPECT:
+            if host not in table.unreachable:
+                state.removals.setdefault(host, now + FALLBACK_S)
+        elif host not in state.accused:
+            state.removals.pop(host, None)
+
+
+def _recheck(board: boards.Board, now: float) -> Iterable[actions.Action]:
+    """Pings members out of reach; drops those the platform no longer lists.
+
+    The platform's list decides between a cut and a loss that this daemon
+    can't tell apart.
+    """
+    table = membership.table(board)
+    missing = sorted(table.unreachable)
+    for host in missing:
+        known = table.members.get(host)
+        if known is None or known.state in precedence.GONE:
+            table.unreachable.discard(host)
+        elif table.entries and host not in table.entries:
+            dead = msgspec.structs.replace(known, state=precedence.DEAD)
+            yield from membership.put(board, dead, now)
+    count = min(RECHECK_FANOUT, len(missing))
+    for host in board.rng.sample(missing, count):
+        yield from _probe(board, host, now)
--- /dev/null
+++ b/standins/hemlockreel_standins/fabric.py
@@ -0,0 +1,118 @@
+"""Several boards in one process, with injected time, for decision tests.
+
+The fabric carries the ``Send`` actions of boards to each other with a delay,
+and loses them where a test says so. Calls to engines and the store go to a
+function of the test. Nothing here knows what the messages mean.
+"""
+
+from collections.abc import Callable
+import heapq
+import random
+from typing import Any
+
+from hemlockreel import actions
+from hemlockreel import board as boards
+from hemlockreel import core
+from hemlockreel import events
+from hemlockreel import messages
+
+TICK_S = 0.1
+DELAY_S = 0.002
+REGION = "midt-norge"
+
+
+class Fabric:
+    """Boards by peer address, and what is on its way between them.
+
+    ``cuts`` holds pairs (sender, receiver) whose messages are lost, ``frozen``
+    the hosts that stand still: what is sent to them waits. ``call`` answers
+    ``CallEngine`` and ``CallStore`` actions of a host, or returns ``None``.
+    """
+
+    def __init__(self, seed: int = 1):
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.boards: dict[str, boards.Board] = {}
+        self.done: dict[str, list[tuple[float, Any]]] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self.frozen: set[str] = set()
+        self.loss = 0.0
+        self.delay = DELAY_S
+        self.sent_bytes: dict[str, int] = {}
+        self.call: Callable[[str, Any], Any] = lambda host, action: None
+        self._queue: list[tuple[float, int, str, Any]] = []
+        self._sequence = 0
+
+    def add(
+        self,
+        host: str,
+        zone: str = "trondheim-a",
+        seeds: tuple[str, ...] = (),
+        epoch: int = 1,
+        region: str = REGION,
+    ) -> boards.Board:
+        """Starts a daemon; an earlier one at the same address is gone."""
+        self.kill(host)
+        identity = boards.Identity(host, f"c{host}", zone, region, epoch)
+        rng = random.Random(self.rng.random())
+        self.boards[host] = boards.Board(identity, seeds, rng)
+        self.done.setdefault(host, [])
+        # The daemons' ticks do not coincide.
+        self._push(self.now + self.rng.random() * TICK_S, host, events.Tick())
+        return self.boards[host]
+
+    def kill(self, host: str) -> None:
+        """Ends a daemon; what is on its way to it is lost."""
+        self.boards.pop(host, None)
+        self._queue = [item for item in self._queue if item[2] != host]
+        heapq.heapify(self._queue)
+
+    def cut(self, senders: Any, receivers: Any) -> None:
+        """Loses all that ``senders`` send to ``receivers`` from now on."""
+        self.cuts |= {(a, b) for a in senders for b in receivers}
+
+    def post(self, host: str, event: Any) -> None:
+        """Gives ``event`` to ``host`` at once."""
+        self._push(self.now, host, event)
+
+    def run(self, seconds: float) -> None:
+        """Lets ``seconds`` pass."""
+        end = self.now + seconds
+        while self._queue and self._queue[0][0] <= end:
+            due, _, host, event = heapq.heappop(self._queue)
+            self.now = max(self.now, due)
+            if host in self.frozen:
+                self._push(self.now + TICK_S, host, event)
+            elif host in self.boards:
+                self._step(host, event)
+        self.now = end
+
+    def told(self, host: str, kind: type) -> list[Any]:
+        """Returns the actions of type ``kind`` that ``host`` wanted done."""
+        return [done for _, done in self.done[host] if isinstance(done, kind)]
+
+    def _step(self, host: str, event: Any) -> None:
+        if isinstance(event, events.Tick):
+            self._push(self.now + TICK_S, host, event)
+        for action in core.step(self.boards[host], event, self.now):
+            if isinstance(action, actions.Send):
+                self._send(host, action)
+                continue
+            self.done[host].append((self.now, action))
+            answer = self.call(host, action)
+            if answer is not None:
+                self._push(self.now + self.delay, host, answer)
+
+    def _send(self, sender: str, action: actions.Send) -> None:
+        if sender == action.to:
+            self._push(self.now, sender, action.message)
+            return
+        size = len(messages.encode(action.message))
+        self.sent_bytes[sender] = self.sent_bytes.get(sender, 0) + size
+        lost = self.loss and self.rng.random() < self.loss
+        if (sender, action.to) not in self.cuts and not lost:
+            self._push(self.now + self.delay, action.to, action.message)
+
+    def _push(self, due: float, host: str, event: Any) -> None:
+        self._sequence += 1
+        heapq.heappush(self._queue, (due, self._sequence, host, event))
