--- a/packages/hemlockreel-daemon/hemlockreel_daemon/daemon.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/daemon.py
@@ -2,9 +2,9 @@
 
 from concurrent import futures
 import functools
-import os
 import random
 import threading
+import time
 from typing import Any
 import uuid
 
@@ -24,6 +24,8 @@
 
 ENGINE_CALLERS = 8  # threads for calls of the control path to engines
 STORE_CALLERS = 4
+EPOCHS_PER_S = 4
+EPOCH_START_S = 1_704_067_200  # the year 2024; 31 bits last until 2041
 
 
 class Daemon:
@@ -31,7 +33,7 @@
 
     def __init__(self, found: settings.Settings):
         self.settings = found
-        epoch = int.from_bytes(os.urandom(4), "big") >> 1
+        epoch = _new_epoch()
         identity = boards.Identity(
             host=found.listen.peers,
             callers=found.listen.callers,
@@ -101,6 +103,11 @@
         )
 
 
+def _new_epoch() -> int:
+    """Returns a number of 31 bits that rises from run to run."""
+    return int((time.time() - EPOCH_START_S) * EPOCHS_PER_S) & (2**31 - 1)
+
+
 @functools.singledispatch
 def perform(action: Any, daemon: Daemon) -> None:
     """Does one action of the core."""
