--- a/packages/hemlockreel/hemlockreel/membership.py
+++ b/packages/hemlockreel/hemlockreel/membership.py
@@ -34,11 +34,13 @@
 
     ``unreachable`` members are not removed, since this daemon itself seems
     to be cut off: see :mod:`probes`. ``outbox`` counts how often an update
-    about a member is still to be passed on.
+    about a member is still to be passed on. ``version`` rises with each change
+    that may change who owns what.
     """
 
     def __init__(self):
         self.members: dict[str, messages.MemberUpdate] = {}
+        self.version = 0
         self.draining = False
         self.leaving = False
         self.configuration = 0
@@ -150,7 +152,9 @@
         return
     state.members[update.host] = update
     if update.state != precedence.SUSPECT:
-        state.unreachable.discard(update.host)
+        set_reachable(state, update.host)
+    if _standing(known) != _standing(update):
+        state.version += 1
     _spread(state, update.host)
     if known is not None and known.state == update.state:
         return
@@ -160,6 +164,20 @@
     yield actions.Log("member", fields)
 
 
+def _standing(update: messages.MemberUpdate | None) -> tuple[bool, bool, str]:
+    """Returns what matters to the ownership of shards."""
+    if update is None or update.state in precedence.GONE:
+        return (False, False, "")
+    return (True, update.draining, update.zone)
+
+
+def set_reachable(state: State, host: str) -> None:
+    """Notes that ``host`` is not out of reach, or not any more."""
+    if host in state.unreachable:
+        state.unreachable.discard(host)
+        state.version += 1
+
+
 def _contradict(
     board: boards.Board, update: messages.MemberUpdate
 ) -> Iterable[actions.Action]:
@@ -316,6 +334,7 @@
     current = (state.draining, state.configuration)
     if current != state.announced:
         state.announced = current
+        state.version += 1
         state.incarnation += 1
         _spread(state, board.identity.host)
 
--- a/packages/hemlockreel/hemlockreel/probes.py
+++ b/packages/hemlockreel/hemlockreel/probes.py
@@ -134,7 +134,7 @@
     state.answered.add(event.target)
     state.removals.pop(event.target, None)
     state.accused.discard(event.target)
-    membership.table(board).unreachable.discard(event.target)
+    membership.set_reachable(membership.table(board), event.target)
 
 
 def _ack(board: boards.Board, seq: int, target: str, to: str) -> messages.Ack:
@@ -350,6 +350,7 @@
         yield actions.Log("isolated", fields)
     yield actions.Count("isolations")
     table.unreachable |= set(silent)
+    table.version += 1
     for host in silent:
         state.removals.pop(host, None)
         state.accused.discard(host)
@@ -404,7 +405,7 @@
     for host in missing:
         known = table.members.get(host)
         if known is None or known.state in precedence.GONE:
-            table.unreachable.discard(host)
+            membership.set_reachable(table, host)
         elif table.entries and host not in table.entries:
             dead = msgspec.structs.replace(known, state=precedence.DEAD)
             yield from membership.put(board, dead, now)
