--- /dev/null
+++ b/packages/hemlockreel/hemlockreel/affinity.py
@@ -0,0 +1,57 @@
+"""Hints about which prefill replica has which prefix cached."""
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Sequence
+
+CAPACITY = 4096  # hints kept per replica
+
+
+class PrefixHints:
+    """The prefixes that a replica is believed to have.
+
+    Hints come from prefills that ended there and from its cache events, which
+    are late and have gaps. A wrong hint costs time, never an answer.
+    """
+
+    def __init__(self, capacity: int = CAPACITY):
+        self.capacity = capacity
+        self._known: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+
+    def match(self, prefixes: Sequence[int]) -> int:
+        """Returns how many leading blocks are believed to be cached.
+
+        >>> hints = PrefixHints()
+        >>> hints.add([1, 2])
+        >>> hints.match([1, 2, 3])
+        2
+        """
+        count = 0
+        for prefix in prefixes:
+            if prefix not in self._known:
+                break
+            count += 1
+        return count
+
+    def add(self, prefixes: Iterable[int]) -> None:
+        """Notes that the blocks were used at the replica."""
+        for prefix in prefixes:
+            self._known[prefix] = None
+            self._known.move_to_end(prefix)
+        while len(self._known) > self.capacity:
+            self._known.popitem(last=False)
+
+    def correct(self, prefixes: Sequence[int], cached_blocks: int) -> None:
+        """Takes over how many blocks a prefill really found cached."""
+        for prefix in prefixes[cached_blocks:]:
+            self._known.pop(prefix, None)
+
+    def apply(self, events: Iterable[dict]) -> None:
+        """Takes over cache events, see docs/design/protocols.md."""
+        for event in events:
+            if event["type"] == "stored":
+                self.add([event["prefix"]])
+            else:
+                self._known.pop(event["prefix"], None)
--- /dev/null
+++ b/packages/hemlockreel/hemlockreel/batching.py
@@ -0,0 +1,62 @@
+"""How many sequences a decode engine can run within the token target.
+
+The time between tokens grows about linearly with the number of sequences that
+run at once. The two coefficients are learned from requests that ended.
+"""
+
+FORGET = 0.95  # weight of the older samples when a new one comes
+PRIOR_WEIGHT = 0.3
+PROBE_WEIGHT = 5.0  # weight of a sample from an engine that was set aside
+HEADROOM = 0.95  # share of the target that the mean gap may take
+MIN_SLOPE_S = 1e-5
+
+
+class BatchModel:
+    """Learns the time between tokens of one engine from its batch size.
+
+    ``target_s`` is the pool's target between tokens and ``limit`` its most
+    sequences at once; the prior belief is that both just fit.
+    """
+
+    def __init__(self, target_s: float, limit: int):
+        self.target_s = target_s
+        self.limit = limit
+        self._samples = [0.0, 0.0, 0.0, 0.0, 0.0]
+        for batch in (1.0, float(limit)):
+            share = 0.3 + 0.6 * (batch - 1) / max(limit - 1, 1)
+            self._add(batch, share * target_s, PRIOR_WEIGHT)
+        self._prior = list(self._samples)
+
+    def add(self, batch: float, gap_s: float, probe: bool = False) -> None:
+        """Takes in a request's mean batch size and mean gap in seconds."""
+        self._samples = [
+            FORGET * old + (1 - FORGET) * prior
+            for old, prior in zip(self._samples, self._prior, strict=True)
+        ]
+        self._add(batch, gap_s, PROBE_WEIGHT if probe else 1.0)
+
+    def cap(self) -> int:
+        """Returns how many sequences fit; 0 when not even one does."""
+        base_s, slope_s = self._fit()
+        fits = (HEADROOM * self.target_s - base_s) / slope_s
+        return max(0, min(self.limit, int(fits)))
+
+    def gap_s(self, batch: float) -> float:
+        """Returns the expected time between tokens with ``batch``."""
+        base_s, slope_s = self._fit()
+        return base_s + slope_s * batch
+
+    def _add(self, batch: float, gap_s: float, weight: float) -> None:
+        terms = (1.0, batch, gap_s, batch * batch, batch * gap_s)
+        self._samples = [
+            old + weight * term
+            for old, term in zip(self._samples, terms, strict=True)
+        ]
+
+    def _fit(self) -> tuple[float, float]:
+        """Returns the line through the samples, by least squares."""
+        count, batches, gaps, squares, products = self._samples
+        spread = count * squares - batches * batches
+        slope_s = (count * products - batches * gaps) / max(spread, 1e-9)
+        slope_s = max(slope_s, MIN_SLOPE_S)
+        return (gaps - slope_s * batches) / count, slope_s
--- /dev/null
+++ b/packages/hemlockreel/hemlockreel/fleet.py
@@ -0,0 +1,122 @@
+"""The engines of a shard: which exist, in which role, and which are usable."""
+
+from collections.abc import Iterable
+import math
+
+from . import objects
+from . import replicas
+from . import stations
+
+
+class Fleet:
+    """The stations of the live replicas of one shard.
+
+    The host list tells which replicas exist; the role that an engine itself
+    reports goes before the one in the list.
+    """
+
+    def __init__(self, pool: objects.ModelPool):
+        self.pool = pool
+        self.replicas: dict[str, replicas.Replica] = {}
+        self.prefills: dict[str, stations.Prefill] = {}
+        self.decodes: dict[str, stations.Decode] = {}
+        self._known: dict[tuple[str, replicas.Role], stations.Station] = {}
+        self._reported: dict[str, replicas.Role] = {}
+        self._retiring: frozenset[str] = frozenset()
+        self._freshest = -math.inf
+
+    def set_pool(self, pool: objects.ModelPool) -> None:
+        """Takes over a changed configuration of the pool."""
+        self.pool = pool
+        target_s = pool.between_tokens_ms / 1000
+        for station in self._known.values():
+            if isinstance(station, stations.Decode):
+                station.set_target(target_s, pool.decode_batch)
+
+    def set_replicas(self, members: Iterable[replicas.Replica]) -> None:
+        """Takes over the live and leaving replicas."""
+        found = {replica.address: replica for replica in members}
+        if found != self.replicas:
+            self.replicas = found
+            self._arrange()
+
+    def set_retiring(self, addresses: frozenset[str]) -> None:
+        """Gives no new work to replicas that are to change their role."""
+        if addresses != self._retiring:
+            self._retiring = addresses
+            self._arrange()
+
+    def set_load(self, address: str, load: dict, now: float) -> None:
+        """Takes over a load report, see docs/design/protocols.md."""
+        if address not in self.replicas:
+            return
+        if "role" in load:
+            role = replicas.Role(load["role"])
+            if self.role(address) is not role:
+                self._reported[address] = role
+                self._arrange()
+        station = self._known[address, self.role(address)]
+        measured_at = now - load.get("age_s", 0.0)
+        station.reported_at = measured_at
+        self._freshest = max(self._freshest, measured_at)
+        if isinstance(station, stations.Decode):
+            total = load["pieces_total"]
+            station.report(total, load.get("pieces_free", total), now)
+
+    def role(self, address: str) -> replicas.Role:
+        """Returns the role of a listed replica."""
+        return self._reported.get(address) or self.replicas[address].role
+
+    def usable_prefills(
+        self, exclude: Iterable[str], now: float
+    ) -> list[stations.Prefill]:
+        """Returns the prefill engines that may get new work."""
+        return [
+            station
+            for station in self.prefills.values()
+            if station.usable(now, self._freshest)
+            and station.address not in exclude
+        ]
+
+    def usable_decodes(
+        self, exclude: Iterable[str], now: float
+    ) -> list[stations.Decode]:
+        """Returns the decode engines that may get new work."""
+        return [
+            station
+            for station in self.decodes.values()
+            if station.usable(now, self._freshest)
+            and station.address not in exclude
+        ]
+
+    def _arrange(self) -> None:
+        """Puts each listed replica into its role."""
+        self.prefills = {}
+        self.decodes = {}
+        for address, replica in self.replicas.items():
+            station = self._station(address, self.role(address))
+            station.leaving = replica.leaving or address in self._retiring
+            if isinstance(station, stations.Prefill):
+                self.prefills[address] = station
+            elif isinstance(station, stations.Decode):
+                self.decodes[address] = station
+        self._known = {
+            key: station
+            for key, station in self._known.items()
+            if key[0] in self.replicas or station.busy
+        }
+        for address in set(self._reported) - set(self.replicas):
+            del self._reported[address]
+
+    def _station(self, address: str, role: replicas.Role) -> stations.Station:
+        """Returns the station of an engine, which keeps what it held."""
+        found = self._known.get((address, role))
+        if found is None:
+            if role is replicas.Role.PREFILL:
+                found = stations.Prefill(address)
+            else:
+                target_s = self.pool.between_tokens_ms / 1000
+                limit = self.pool.decode_batch
+                found = stations.Decode(address, target_s, limit)
+            self._known[address, role] = found
+        return found
--- /dev/null
+++ b/packages/hemlockreel/hemlockreel/placement.py
@@ -0,0 +1,166 @@
+"""Which replicas an ask is placed at, if there is room for it now."""
+
+import math
+from typing import NamedTuple
+
+from . import fleet as fleets
+from . import forecast as forecasts
+from . import messages
+from . import overcommit as overcommits
+from . import queueing
+from . import stations
+
+DEFERRABLE = "deferrable"
+LINE_LIMIT = 2  # prefills at one engine, the running one included
+TRANSFER_LIMIT = 3  # transfers under way from one prefill engine
+RESULT_TTL_S = 0.8  # time for which a prefill result waits for memory
+HEADROOM_SHARE = 0.1  # share of memory that deferrable asks leave free
+
+
+class Choice(NamedTuple):
+    """The replicas for an ask; ``ahead`` when the memory is not free yet."""
+
+    prefill: stations.Prefill
+    decode: stations.Decode
+    ahead: bool
+    work_s: float
+
+
+class Placement:
+    """Chooses replicas for asks."""
+
+    def __init__(
+        self,
+        fleet: fleets.Fleet,
+        forecast: forecasts.Forecast,
+        overcommit: overcommits.Overcommit,
+    ):
+        self.fleet = fleet
+        self.forecast = forecast
+        self.overcommit = overcommit
+
+    def view(self, ask: messages.Ask, now: float) -> forecasts.View:
+        """Returns the stations that ``ask`` may use."""
+        return forecasts.View(
+            self.fleet.usable_prefills(ask.exclude, now),
+            self.fleet.usable_decodes(ask.exclude, now),
+            now,
+        )
+
+    def find(
+        self,
+        entry: queueing.Entry,
+        queue: queueing.FairQueue,
+        now: float,
+    ) -> Choice | None:
+        """Returns the replicas for ``entry``, ``None`` while there are none.
+
+        ``queue`` is the one that ``entry`` waits in.
+        """
+        view = self.view(entry.ask, now)
+        prefill = self._pick_prefill(entry, view)
+        if prefill is None:
+            return None
+        work_s = prefill.work_s(entry.ask.prompt_tokens, entry.ask.prefixes)
+        usable = [x for x in view.decodes if x.room(now) > 0]
+        ahead = False
+        if entry.ask.klass == DEFERRABLE:
+            decode = self._pick_deferrable(entry, usable, now)
+        else:
+            decode = _pick_free(entry, usable)
+        if decode is None and entry.ask.klass != DEFERRABLE:
+            ahead = True
+            lead_s = prefill.free_in(now) + work_s
+            queued = queue.ahead(entry.ask, math.inf)
+            pressure = self.forecast.wait_s(view, queued, 0, 0)
+            pressure /= max(entry.ask.deadline_s, 1e-3)
+            share = self.overcommit.share(pressure)
+            decode = self._pick_ahead(entry, usable, share, lead_s)
+        if decode is None:
+            return None
+        return Choice(prefill, decode, ahead, work_s)
+
+    def _pick_prefill(
+        self, entry: queueing.Entry, view: forecasts.View
+    ) -> stations.Prefill | None:
+        """Returns the replica that should end the prefill first.
+
+        A cached prefix shortens the prefill and a line delays it, so a
+        prefix that many share does not overload one replica.
+        """
+        usable = [
+            station
+            for station in view.prefills
+            if len(station.line) < LINE_LIMIT
+            and station.transfers < TRANSFER_LIMIT
+        ]
+        ask = entry.ask
+        if ask.klass == DEFERRABLE:
+            usable = _leave_prefills(usable, view)
+        return min(
+            usable,
+            key=lambda x: (
+                x.free_in(view.now) + x.work_s(ask.prompt_tokens, ask.prefixes)
+            ),
+            default=None,
+        )
+
+    def _pick_ahead(
+        self,
+        entry: queueing.Entry,
+        usable: list[stations.Decode],
+        share: float,
+        lead_s: float,
+    ) -> stations.Decode | None:
+        """Returns a replica that should have the memory in time."""
+        if share <= 0:
+            return None
+        wait_s = lead_s + RESULT_TTL_S
+        best = None
+        best_free = -math.inf
+        for station in usable:
+            expected = share * self.forecast.releases(station, wait_s)
+            free = station.free + round(expected)
+            if free >= entry.pieces and free > best_free:
+                best, best_free = station, free
+        return best
+
+    def _pick_deferrable(
+        self,
+        entry: queueing.Entry,
+        usable: list[stations.Decode],
+        now: float,
+    ) -> stations.Decode | None:
+        """Returns a replica that has memory beyond what others may need."""
+        decodes = self.fleet.decodes.values()
+        held = sum(x.granted - x.deferrable for x in decodes)
+        peak = self.forecast.interactive_peak(held, now)
+        total = sum(x.total for x in decodes)
+        reserve = peak - held + HEADROOM_SHARE * total
+        free = sum(x.free for x in usable)
+        if free - entry.pieces < reserve:
+            return None
+        return _pick_free(entry, [x for x in usable if not x.slow])
+
+
+def _pick_free(
+    entry: queueing.Entry, usable: list[stations.Decode]
+) -> stations.Decode | None:
+    """Returns the least full replica that has the memory now."""
+    fits = [x for x in usable if x.free >= entry.pieces]
+    return min(fits, key=_fullness, default=None)
+
+
+def _fullness(station: stations.Decode) -> float:
+    """Returns how far the batch of a replica is filled."""
+    return station.count / max(station.cap, 1)
+
+
+def _leave_prefills(
+    usable: list[stations.Prefill], view: forecasts.View
+) -> list[stations.Prefill]:
+    """Leaves half of the replicas, and any line, to interactive asks."""
+    running = sum(x.deferrable for x in view.prefills)
+    if running >= max(1, len(view.prefills) // 2):
+        return []
+    return [station for station in usable if not station.line]
