--- a/packages/hemlockreel/hemlockreel/ledger.py
+++ b/packages/hemlockreel/hemlockreel/ledger.py
@@ -23,6 +23,7 @@
 from . import returns
 
 BYPASS = 4  # organisations whose next ask may use what the first one cannot
+HOPELESS_WAIT = 0.5  # share of the target that a too long prompt may wait
 GRANT_SLACK = 0.25  # share of the pool's margin kept when a prefill starts
 MIN_GAP_TOKENS = 8  # shorter answers tell too little of the gap
 
@@ -241,6 +242,9 @@
         if ask.deadline_s:
             deadline = view.now + ask.deadline_s
         service_s = prefill_s + self.forecast.after_prefill_s(view)
+        if service_s > ask.deadline_s - self.pool.margin_ms / 1000:
+            # No replica could be in time, so only the wait counts.
+            service_s = ask.deadline_s * (1 - HOPELESS_WAIT)
         slack_s = GRANT_SLACK * self.pool.margin_ms / 1000
         give_up_at = queueing.start_by(deadline, service_s, slack_s)
         return queueing.Entry(
@@ -259,9 +263,10 @@
         if _deferrable(ask) or not ask.deadline_s:
             return None
         ahead = self._interactive.ahead(ask, entry.cost)
-        first_s = self.forecast.wait_s(view, ahead, entry.pieces)
-        first_s += entry.prefill_s + self.forecast.after_prefill_s(view)
-        if first_s > ask.deadline_s - self.pool.margin_ms / 1000:
+        wait_s = self.forecast.wait_s(view, ahead, entry.pieces)
+        # The slack kept at the start is a part of the margin kept here.
+        margin_s = (1 - GRANT_SLACK) * self.pool.margin_ms / 1000
+        if view.now + wait_s + margin_s > entry.give_up_at:
             return outcomes.Reason.LATE
         return None
 
--- /dev/null
+++ b/standins/hemlockreel_standins/baseline.py
@@ -0,0 +1,65 @@
+"""The naive policy that the ledger is compared with.
+
+It grants everything at once, round robin, and reserves nothing.
+"""
+
+from collections.abc import Iterable
+import itertools
+
+from hemlockreel import decisions
+from hemlockreel import messages
+from hemlockreel import replicas
+
+
+class RoundRobin:
+    """Has the methods of the ledger that the load tool calls."""
+
+    def __init__(self):
+        self._prefills: list[str] = []
+        self._decodes: list[str] = []
+        self._turns = itertools.count()
+
+    def set_replicas(self, members: Iterable[replicas.Replica]) -> None:
+        """Takes over the live replicas."""
+        members = list(members)
+        self._prefills = _addresses(members, replicas.Role.PREFILL)
+        self._decodes = _addresses(members, replicas.Role.DECODE)
+
+    def submit(
+        self, ask: messages.Ask, grant_id: int, now: float
+    ) -> list[decisions.Decision]:
+        """Grants the next replicas in turn."""
+        turn = next(self._turns)
+        prefill = self._prefills[turn % len(self._prefills)]
+        decode = self._decodes[turn % len(self._decodes)]
+        return [decisions.Granted(ask, grant_id, decode, prefill)]
+
+    def decide(self, now: float) -> list[decisions.Decision]:
+        """Returns nothing: no ask waits."""
+        return []
+
+    def withdraw(self, request_id: str, attempt: int) -> None:
+        """Does nothing."""
+
+    def set_load(self, address: str, load: dict, now: float) -> None:
+        """Does nothing."""
+
+    def prefilled(self, grant_id: int, now: float, cached=None) -> None:
+        """Does nothing."""
+
+    def first_token(self, grant_id: int, now: float) -> None:
+        """Does nothing."""
+
+    def ended(
+        self, grant_id: int, output_tokens: int, failed: bool, now: float
+    ) -> None:
+        """Does nothing."""
+
+    def release(self, grant_id: int, now: float) -> None:
+        """Does nothing."""
+
+
+def _addresses(
+    members: list[replicas.Replica], role: replicas.Role
+) -> list[str]:
+    return [member.address for member in members if member.role is role]
--- /dev/null
+++ b/standins/hemlockreel_standins/tally.py
@@ -0,0 +1,119 @@
+"""What a run of the load tool counts."""
+
+import collections
+from typing import NamedTuple
+
+from hdrh import histogram
+
+HIGHEST_MS = 600_000
+
+
+class Targets(NamedTuple):
+    """What a good answer meets, in seconds."""
+
+    first_token_s: float
+    between_tokens_s: float
+
+
+class Figures(NamedTuple):
+    """The results of one run."""
+
+    goodput: float
+    wasted: float
+    first_ms: str
+    between_ms: str
+    counts: dict[str, int]
+    refusals: dict[str, int]
+    good_by_second: dict[int, int]
+    good_by_organisation: dict[str, int]
+
+    def rate(self, start: float, end: float) -> float:
+        """Returns good answers per second to tries of a part of the run."""
+        good = sum(
+            count
+            for second, count in self.good_by_second.items()
+            if start <= second < end
+        )
+        return good / (end - start)
+
+
+class Tally:
+    """The counts and histograms of one run, from ``start`` to ``end``.
+
+    Calls that come before ``start`` fill the engines and are not counted.
+    """
+
+    def __init__(self, targets: Targets, start: float, end: float):
+        self.targets = targets
+        self.start = start
+        self.end = end
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.refusals: collections.Counter[str] = collections.Counter()
+        self.good_by_second: collections.Counter[int] = collections.Counter()
+        self.good_by_organisation: collections.Counter[str] = (
+            collections.Counter()
+        )
+        self.first_ms = histogram.HdrHistogram(1, HIGHEST_MS, 3)
+        self.between_ms = histogram.HdrHistogram(1, HIGHEST_MS, 3)
+        self.prefill_tokens = 0
+        self.wasted_tokens = 0
+
+    @property
+    def goodput(self) -> float:
+        """Good interactive answers per second."""
+        return self.counts["good"] / (self.end - self.start)
+
+    @property
+    def wasted(self) -> float:
+        """The share of prefilled tokens whose result was never used."""
+        return self.wasted_tokens / max(self.prefill_tokens, 1)
+
+    def counted(self, at: float) -> bool:
+        """Returns whether what comes at ``at`` is counted."""
+        return self.start <= at < self.end
+
+    def prefilled(self, tokens: int, used: bool, at: float) -> None:
+        """Counts a prefill once it is known whether it was used."""
+        if not self.counted(at):
+            return
+        self.prefill_tokens += tokens
+        if not used:
+            self.wasted_tokens += tokens
+
+    def answered(
+        self,
+        organisation: str,
+        asked_at: float,
+        first_s: float,
+        between_s: float,
+    ) -> None:
+        """Counts a whole answer to an interactive try of ``asked_at``."""
+        if not self.counted(asked_at):
+            return
+        self.counts["answered"] += 1
+        self.first_ms.record_value(max(1, round(first_s * 1000)))
+        self.between_ms.record_value(max(1, round(between_s * 1000)))
+        in_time = first_s <= self.targets.first_token_s
+        if in_time and between_s <= self.targets.between_tokens_s:
+            self.counts["good"] += 1
+            self.good_by_organisation[organisation] += 1
+            self.good_by_second[int(asked_at)] += 1
+
+    def figures(self) -> Figures:
+        """Returns the results."""
+        return Figures(
+            self.goodput,
+            self.wasted,
+            percentiles(self.first_ms),
+            percentiles(self.between_ms),
+            dict(self.counts),
+            dict(self.refusals.most_common()),
+            dict(self.good_by_second),
+            dict(self.good_by_organisation),
+        )
+
+
+def percentiles(found: histogram.HdrHistogram) -> str:
+    """Returns p50/p95/p99 as text."""
+    values = (found.get_value_at_percentile(x) for x in (50, 95, 99))
+    return "/".join(str(int(value)) for value in values)
--- /dev/null
+++ b/standins/hemlockreel_standins/workload.py
@@ -0,0 +1,222 @@
+"""The load of the two deployments, drawn with a fixed seed.
+
+Prompts and answers are heavy-tailed, organisations differ in size, and the
+prompts of one organisation start with the same text.
+"""
+
+from collections.abc import Iterator
+import math
+import random
+from typing import NamedTuple
+
+import xxhash
+
+from hemlockreel import objects
+
+from . import engine_model
+
+BLOCK_TOKENS = 256
+
+
+class Lengths(NamedTuple):
+    """A lognormal distribution of lengths in tokens."""
+
+    median: float
+    sigma: float
+    low: int
+    high: int
+
+    def draw(self, rng: random.Random) -> int:
+        """Returns a length."""
+        drawn = rng.lognormvariate(math.log(self.median), self.sigma)
+        return min(self.high, max(self.low, round(drawn)))
+
+
+class Profile(NamedTuple):
+    """A deployment: its engines, its pool and what its callers send."""
+
+    name: str
+    prefills: int
+    decodes: int
+    engine: engine_model.Settings
+    pool: objects.ModelPool
+    prompt: Lengths
+    output: Lengths
+    organisations: int = 40
+    deferrable_share: float = 0.0
+
+
+class Call(NamedTuple):
+    """One request of a caller.
+
+    ``max_tokens`` is what the caller allows, ``length`` what the model will
+    make. ``cancel_after_s`` is infinite for callers that wait.
+    """
+
+    request_id: str
+    at: float
+    organisation: str
+    klass: str
+    prompt_tokens: int
+    prefixes: tuple[int, ...]
+    max_tokens: int
+    length: int
+    cancel_after_s: float
+    follows: bool
+
+
+FJELLPULVER = Profile(
+    "fjellpulver",
+    2,
+    3,
+    engine_model.Settings(),
+    objects.ModelPool(service="lesar", model="lesar-7b"),
+    Lengths(1000, 1.2, 20, 28000),
+    Lengths(160, 0.8, 4, 2048),
+)
+LOCH_ASHIE = Profile(
+    "loch-ashie",
+    2,
+    2,
+    engine_model.Settings(
+        prefill_tokens_per_s=4000.0,
+        step_base_s=0.04,
+        step_per_sequence_s=0.003,
+        link_bytes_per_s=5e9,
+    ),
+    objects.ModelPool(
+        service="drafter",
+        model="drafter-13b",
+        first_token_ms=15000,
+        between_tokens_ms=100,
+        margin_ms=1500,
+    ),
+    Lengths(6000, 0.8, 50, 28000),
+    Lengths(300, 0.7, 8, 2048),
+    organisations=12,
+)
+LETTER = FJELLPULVER._replace(name="letter", prefills=2, decodes=6)
+SHORT_PROMPTS = FJELLPULVER._replace(
+    name="short prompts", prompt=Lengths(300, 0.8, 20, 4000)
+)
+LONG_PROMPTS = FJELLPULVER._replace(
+    name="long prompts",
+    prefills=4,
+    decodes=1,
+    prompt=Lengths(4000, 0.6, 500, 28000),
+    output=Lengths(50, 0.5, 4, 400),
+)
+PROFILES = {
+    profile.name: profile
+    for profile in (
+        FJELLPULVER,
+        LOCH_ASHIE,
+        LETTER,
+        SHORT_PROMPTS,
+        LONG_PROMPTS,
+    )
+}
+
+
+class Source:
+    """Draws the calls of one profile."""
+
+    def __init__(self, profile: Profile, seed: int):
+        self.profile = profile
+        self._rng = random.Random(seed)
+        self._count = 0
+        self._names = [f"org-{x}" for x in range(profile.organisations)]
+        self._sizes = [1 / (x + 1) for x in range(profile.organisations)]
+        self._shared = {
+            name: self._rng.randint(0, 8 * BLOCK_TOKENS)
+            for name in self._names
+        }
+
+    def draw(self, at: float, organisation: str = "", klass: str = "") -> Call:
+        """Returns the next call, which comes at ``at``."""
+        rng = self._rng
+        profile = self.profile
+        self._count += 1
+        if not organisation:
+            organisation = rng.choices(self._names, self._sizes)[0]
+        shared = self._shared.get(organisation, 0)
+        prompt = profile.prompt.draw(rng)
+        if rng.random() < 0.5:
+            prompt = min(profile.prompt.high, prompt + shared)
+        else:
+            shared = 0
+        length = profile.output.draw(rng)
+        max_tokens = min(
+            profile.output.high, round(length * rng.uniform(1, 3))
+        )
+        if not klass:
+            deferrable = rng.random() < profile.deferrable_share
+            klass = "deferrable" if deferrable else "interactive"
+        return Call(
+            f"c{self._count}",
+            at,
+            organisation,
+            klass,
+            prompt,
+            self._prefixes(organisation, shared, prompt),
+            max_tokens,
+            length,
+            rng.expovariate(0.2) if rng.random() < 0.02 else math.inf,
+            rng.random() < 0.8,
+        )
+
+    def _prefixes(
+        self, organisation: str, shared: int, prompt: int
+    ) -> tuple[int, ...]:
+        """Returns hashes of blocks, the leading ones shared."""
+        blocks = min(prompt // BLOCK_TOKENS, 64)
+        common = min(shared // BLOCK_TOKENS, blocks)
+        names = [f"{organisation}/{x}" for x in range(common)]
+        names += [f"{self._count}/{x}" for x in range(blocks - common)]
+        return tuple(xxhash.xxh64_intdigest(name.encode()) for name in names)
+
+
+def capacity(profile: Profile, prefills: int = 0, decodes: int = 0) -> float:
+    """Returns the calls per second that the engines can serve at most.
+
+    It is worked out from the mean work of a call, without any waiting: the
+    lower of the rates at which all prefill and all decode engines are busy.
+    """
+    source = Source(profile, 0)
+    calls = [source.draw(0.0) for _ in range(20000)]
+    engine = profile.engine
+    prompts = sum(call.prompt_tokens for call in calls) / len(calls)
+    prefill_s = engine.prefill_base_s + prompts / engine.prefill_tokens_per_s
+    lengths = sum(call.length for call in calls) / len(calls)
+    pieces = sum(
+        -(-(call.prompt_tokens + call.max_tokens) // engine.piece_tokens)
+        for call in calls
+    )
+    batch = min(engine.pieces * len(calls) / pieces, profile.pool.decode_batch)
+    target_s = profile.pool.between_tokens_ms / 1000
+    within = (target_s - engine.step_base_s) / engine.step_per_sequence_s
+    batch = min(batch, within)
+    step_s = engine.step_base_s + batch * engine.step_per_sequence_s
+    return min(
+        (prefills or profile.prefills) / prefill_s,
+        (decodes or profile.decodes) * batch / (lengths * step_s),
+    )
+
+
+def arrivals(
+    rate: float, start: float, end: float, rng: random.Random
+) -> Iterator[float]:
+    """Yields the times of a Poisson process of ``rate`` per second."""
+    at = start + rng.expovariate(rate)
+    while at < end:
+        yield at
+        at += rng.expovariate(rate)
+
+
+def evening(at: float, day_s: float, position: float) -> float:
+    """Returns the load at ``at`` as a share of the peak's.
+
+    ``position`` is where in a day of ``day_s`` the peak lies, 0 to 1.
+    """
+    distance = (at / day_s - position) / 0.15
+    return 0.25 + 0.75 * math.exp(-distance * distance / 2)
