Make each answer whole, the caller's own, or plainly cut

A token missing from a stream was skipped and the answer still ended as whole. A stream that could not be resumed ended with a clean chunked body. A first token that never came led to a second decode of the same id, which the engine refused as it held the first. The length reserved could differ from the length decoded when the pool changed in between. Besides, a refused second try said "not run" though the first had reached an engine.

Ruled out: raising in the stream's iterator to break the body off, since CherryPy traps it and ends the body cleanly; an attempt in the engine's cancel, since the request is cancelled before the next try asks.

Change: `decoding` resumes from the last offset on a gap, a cut, a stray id or silence, at most five times in a row without a token. An answer that is cut is followed by an event and the end of the connection without the last chunk. One thread watches the connections of all callers with epoll and interrupts the call that a worker is blocked in. Failed tries are cancelled and confirmed before the next. Headers, paths and queries of plain calls are passed on as they came; repeated ones are kept.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/answers.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/answers.py
@@ -2,14 +2,19 @@
 
 import json
 import math
+import sys
 from typing import Any
 
 import cherrypy
 
 from hemlockreel import outcomes
 
+from . import bodies
+from . import logs
+
 STATUS = {
     outcomes.Reason.BAD_REQUEST: 400,
+    outcomes.Reason.INTERNAL_ERROR: 500,
     outcomes.Reason.UNKNOWN_MODEL: 404,
     outcomes.Reason.UNKNOWN_ROUTE: 404,
     outcomes.Reason.PROMPT_TOO_LONG: 413,
@@ -39,15 +44,46 @@
 
 
 def refuse(
-    refused: outcomes.Refused, request_id: str, status: int | None = None
+    refused: outcomes.Refused,
+    request_id: str,
+    status: int | None = None,
+    addresses: list[str] | None = None,
 ) -> bytes:
-    """Sets the status and headers of a refusal and returns its body."""
+    """Sets the status and headers of a refusal and returns its body.
+
+    ``addresses`` are those that the caller should use instead.
+    """
     response = cherrypy.response
     response.status = status or STATUS.get(refused.reason, UNAVAILABLE)
     if refused.retry_after_s is not None:
-        seconds = max(1, math.ceil(refused.retry_after_s))
+        # Whole seconds only; the body says it to the millisecond.
+        seconds = math.ceil(refused.retry_after_s)
         response.headers["Retry-After"] = str(seconds)
-    return send_json(describe(refused, request_id), request_id)
+    body = describe(refused, request_id)
+    if addresses is not None:
+        body["error"]["addresses"] = addresses
+    return send_json(body, request_id)
+
+
+def refuse_wrong(wrong: bodies.Wrong, request_id: str) -> bytes:
+    """Refuses a request that is wrong in itself."""
+    reason = outcomes.Reason.BAD_REQUEST
+    refused = outcomes.not_run(reason, detail=wrong.message)
+    return refuse(refused, request_id, wrong.status)
+
+
+def fail(error: Exception, request_id: str) -> bytes:
+    """Answers a request that an unexpected error ended."""
+    logs.write("worker_failed", {"error": repr(error)})
+    reason = outcomes.Reason.INTERNAL_ERROR
+    return refuse(outcomes.unknown(reason), request_id)
+
+
+def fail_unexpectedly() -> None:
+    """Answers an error outside of any handler."""
+    response = cherrypy.response
+    response.body = [fail(sys.exc_info()[1], "")]
+    response.headers.pop("Content-Length", None)
 
 
 def send_json(value: Any, request_id: str = "") -> bytes:
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/callers_socket.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/callers_socket.py
@@ -1,55 +1,83 @@
-"""Notices a caller that has left while a worker waits for something else."""
+"""Notices callers that have left while a worker waits for something else."""
 
-from collections.abc import Callable
-import queue
+import contextlib
+import select
 import socket
-import time
-from typing import Any
+import threading
+
+from hemlockreel import outcomes
+
+from . import mailbox
 
-POLL_S = 0.1
 KEEPALIVE_IDLE_S = 1
-KEEPALIVE_PROBES = 3
+KEEPALIVE_PERIOD_S = 1
+KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MS = 3000  # unacknowledged data for this long ends a connection
+WRITE_TIMEOUT_S = 3.0  # a caller that reads nothing for so long is cut off
+SEND_BUFFER_BYTES = 16 * 1024
+LEFT = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+
+
+class Watcher:
+    """One thread that watches the connections of all callers.
+
+    The kernel reports a connection that its peer closed, or that the
+    keep-alive probes found dead, so no worker has to look at it in between.
+    """
+
+    def __init__(self):
+        self._epoll = select.epoll()
+        self._boxes: dict[int, mailbox.Mailbox] = {}
 
+    def start(self) -> None:
+        """Starts the thread."""
+        threading.Thread(target=self._run, name="callers", daemon=True).start()
 
-class Gone:
-    """What :func:`wait` returns when the caller has left."""
+    def watch(self, sock: socket.socket, box: mailbox.Mailbox) -> None:
+        """Stops ``box`` when the peer of ``sock`` has gone."""
+        set_up(sock)
+        self._boxes[sock.fileno()] = box
+        self._epoll.register(sock.fileno(), LEFT | select.EPOLLONESHOT)
 
+    def forget(self, sock: socket.socket) -> None:
+        """Ends :meth:`watch`; to be called before ``sock`` is closed."""
+        number = sock.fileno()
+        self._boxes.pop(number, None)
+        if number >= 0:
+            with contextlib.suppress(OSError):
+                self._epoll.unregister(number)
 
-def watch(sock: socket.socket) -> Callable[[], bool]:
-    """Returns a function that tells whether the peer of ``sock`` has gone.
+    def _run(self) -> None:
+        while True:
+            for number, _ in self._epoll.poll():
+                box = self._boxes.get(number)
+                if box is not None:
+                    box.stop(outcomes.Reason.CALLER_GONE)
 
-    Keep-alive probes let the kernel notice a peer that went silent.
+
+def set_up(sock: socket.socket) -> None:
+    """Bounds how long a silent or a slow peer is waited for.
+
+    The small buffer makes a peer that no longer reads show up by a write
+    that does not end.
     """
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
-    )
-
-    def gone() -> bool:
-        try:
-            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-            return sock.recv(1, flags) == b""
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-
-    return gone
-
-
-def wait(
-    box: queue.SimpleQueue, timeout_s: float, gone: Callable[[], bool]
-) -> Any:
-    """Waits on a mailbox; ``Gone`` when the caller left, else ``None``."""
-    end = time.monotonic() + timeout_s
-    while time.monotonic() < end:
-        try:
-            return box.get(timeout=POLL_S)
-        except queue.Empty:
-            if gone():
-                return Gone
-    return None
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_PERIOD_S),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+        (socket.TCP_NODELAY, 1),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+    sock.settimeout(WRITE_TIMEOUT_S)
+
+
+def cut(sock: socket.socket) -> None:
+    """Breaks a connection off, so that its answer can't look whole.
+
+    What was written before still reaches the caller.
+    """
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/calls.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/calls.py
@@ -1,10 +1,11 @@
 """Carries one plain call: grant, claim, the call itself."""
 
-from collections.abc import Callable
-import queue
-from typing import Any
+from collections.abc import Iterable
+import socket
 from typing import NamedTuple
 
+import urllib3
+from urllib3 import util
 import xxhash
 
 from hemlockreel import claims
@@ -13,9 +14,9 @@
 from hemlockreel import objects
 from hemlockreel import outcomes
 
-from . import callers_socket
 from . import daemon as daemons
 from . import http_calls
+from . import mailbox
 
 CLAIM_TIMEOUT_S = 5.0
 MAX_ATTEMPTS = 3
@@ -48,7 +49,7 @@
     body: bytes
     organisation: str
     key: str
-    gone: Callable[[], bool]
+    caller: socket.socket
     traceparent: str
 
 
@@ -62,23 +63,20 @@
 
 def run(daemon: daemons.Daemon, job: Job) -> Carried:
     """Returns the outcome of one plain call."""
-    box = daemon.mailboxes.open(job.request_id)
-    try:
-        with daemon.traces.span(
+    with (
+        daemon.carry(job.request_id, job.caller) as box,
+        daemon.traces.span(
             "entry", job.traceparent, request_id=job.request_id
-        ) as traceparent:
-            below = job._replace(traceparent=traceparent)
-            return _Carrier(daemon, below, box).run()
-    finally:
-        daemon.mailboxes.close(job.request_id)
+        ) as traceparent,
+    ):
+        below = job._replace(traceparent=traceparent)
+        return _Carrier(daemon, below, box).run()
 
 
 class _Carrier:
     """The tries of one plain call."""
 
-    def __init__(
-        self, daemon: daemons.Daemon, job: Job, box: queue.SimpleQueue
-    ):
+    def __init__(self, daemon: daemons.Daemon, job: Job, box: mailbox.Mailbox):
         self._daemon = daemon
         self._job = job
         self._box = box
@@ -88,7 +86,7 @@
     def run(self) -> Carried:
         """Tries until there is an answer, or another try could run twice."""
         excluded: tuple[str, ...] = ()
-        carried = Carried(outcomes.not_run(outcomes.Reason.NO_BACKEND, 1.0))
+        ran = False
         for attempt in range(1, MAX_ATTEMPTS + 1):
             grant = self._ask(attempt, excluded)
             if isinstance(grant, outcomes.Refused):
@@ -97,7 +95,10 @@
             carried = self._carry(grant, attempt)
             if not self._may_repeat(carried.outcome):
                 break
+            ran = ran or carried.outcome.ran is not outcomes.Ran.NOT_RUN
             excluded += (grant.replica,)
+        if ran and isinstance(carried.outcome, outcomes.Refused):
+            carried = carried._replace(outcome=_admit(carried.outcome))
         if self._claimed:
             self._daemon.loop.post(
                 events.ClaimEnded(self._job.request_id, carried.outcome)
@@ -128,25 +129,29 @@
             job.traceparent,
         )
         self._daemon.loop.post(asked)
-        value = self._wait(timeout_s + 1.0)
-        if isinstance(value, messages.Grant | outcomes.Refused):
+        value = self._box.get(timeout_s + 1.0)
+        if isinstance(value, messages.Grant):
+            return value
+        self._end(attempt, failed=False)
+        if isinstance(value, outcomes.Refused):
             return value
-        self._end(attempt, clean=True)
-        return value or outcomes.not_run(
+        if isinstance(value, mailbox.Stopped):
+            return outcomes.not_run(value.reason)
+        return outcomes.not_run(
             outcomes.Reason.OWNER_UNREACHABLE, RETRY_AFTER_S
         )
 
     def _carry(self, grant: messages.Grant, attempt: int) -> Carried:
         failed = False
         try:
-            refused = self._claim(attempt)
-            if refused is not None:
-                return Carried(refused, grant.sender)
+            told = self._claim(attempt)
+            if told is not None:
+                return Carried(told, grant.sender)
             outcome = self._send(grant, attempt)
             failed = isinstance(outcome, outcomes.Refused)
             return Carried(outcome, grant.sender, grant.replica)
         finally:
-            self._end(attempt, clean=True, failed=failed)
+            self._end(attempt, failed)
 
     def _claim(
         self, attempt: int
@@ -163,59 +168,86 @@
             fingerprint(job),
         )
         self._daemon.loop.post(asked)
-        value = self._wait(CLAIM_TIMEOUT_S)
+        value = self._box.get(CLAIM_TIMEOUT_S)
+        if isinstance(value, outcomes.Answered | outcomes.Refused):
+            return value
+        # The claim was made, or may yet be made: its end must be recorded.
+        self._claimed = True
+        if isinstance(value, mailbox.Stopped):
+            return outcomes.not_run(value.reason)
         if isinstance(value, claims.Claimed):
-            self._claimed = True
             return None
-        if value is None or value is callers_socket.Gone:
-            return outcomes.not_run(
-                outcomes.Reason.STORE_UNAVAILABLE, RETRY_AFTER_S
-            )
-        return value
+        return outcomes.not_run(
+            outcomes.Reason.STORE_UNAVAILABLE, RETRY_AFTER_S
+        )
 
     def _send(
         self, grant: messages.Grant, attempt: int
     ) -> outcomes.Answered | outcomes.Refused:
+        """Sends the call once.
+
+        A claimed call runs to its end even when the caller has gone, since a
+        repeat with the same key gets its answer.
+        """
         job = self._job
+        if self._box.stopped is not None:
+            return outcomes.not_run(self._box.stopped.reason)
+        box = None if self._claimed else self._box
         with self._daemon.traces.span(
             "call",
             job.traceparent,
             request_id=job.request_id,
             replica=grant.replica,
         ) as traceparent:
-            headers = {
-                name: value
-                for name, value in job.headers
-                if name.lower() not in HOP_HEADERS
-            }
-            headers["X-Request-Id"] = job.request_id
-            headers["X-Attempt"] = str(attempt)
-            headers["traceparent"] = traceparent
             opened = http_calls.open_call(
                 grant.replica,
                 job.method,
                 job.target,
                 job.body or None,
-                headers,
+                self._headers(attempt, traceparent),
                 job.route.timeout_ms / 1000,
+                box,
             )
             if isinstance(opened, http_calls.Failed):
-                return _failed(opened)
+                return self._failed(opened)
             try:
-                return self._read(opened, attempt)
+                with http_calls.interrupting(box, opened.sock):
+                    return self._read(opened, attempt)
             finally:
                 opened.close()
 
+    def _headers(
+        self, attempt: int, traceparent: str
+    ) -> urllib3.HTTPHeaderDict:
+        """Returns the caller's headers as the backend server gets them."""
+        given = self._job.headers
+        dropped = HOP_HEADERS | _named_in_connection(given)
+        # Nothing is added that the caller did not send.
+        headers = urllib3.HTTPHeaderDict(
+            {
+                "User-Agent": util.SKIP_HEADER,
+                "Accept-Encoding": util.SKIP_HEADER,
+            }
+        )
+        for name in ("User-Agent", "Accept-Encoding"):
+            if any(name.lower() == each.lower() for each, _ in given):
+                del headers[name]
+        for name, value in given:
+            if name.lower() not in dropped:
+                headers.add(name, value)
+        headers["X-Request-Id"] = self._job.request_id
+        headers["X-Attempt"] = str(attempt)
+        headers["traceparent"] = traceparent
+        return headers
+
     def _read(
         self, opened: http_calls.Opened, attempt: int
     ) -> outcomes.Answered | outcomes.Refused:
         response = opened.response
         try:
-            body = response.read()
+            body = response.read(decode_content=False)
         except http_calls.FAILURES as error:
-            return outcomes.unknown(
-                outcomes.Reason.BACKEND_FAILED, f"answer cut: {error}"
-            )
+            return self._failed(http_calls.describe(error))
         found = (
             response.headers.get("X-Request-Id"),
             response.headers.get("X-Attempt"),
@@ -226,26 +258,50 @@
                 outcomes.Reason.BACKEND_FAILED,
                 "the backend server answered another request",
             )
+        dropped = HOP_HEADERS | _named_in_connection(response.headers.items())
+        if self._job.method == "HEAD":
+            dropped.discard("content-length")
         headers = tuple(
             (name, value)
             for name, value in response.headers.items()
-            if name.lower() not in HOP_HEADERS
+            if name.lower() not in dropped
         )
         return outcomes.Answered(response.status, headers, body)
 
-    def _wait(self, timeout_s: float) -> Any:
-        value = callers_socket.wait(self._box, timeout_s, self._job.gone)
-        if value is callers_socket.Gone:
-            self._daemon.metrics.count("callers_gone")
-            return outcomes.not_run(outcomes.Reason.CALLER_GONE)
-        return value
+    def _failed(self, failed: http_calls.Failed) -> outcomes.Refused:
+        """Turns a call without an answer into a refusal."""
+        if not failed.sent:
+            return outcomes.not_run(
+                outcomes.Reason.BACKEND_FAILED, RETRY_AFTER_S, failed.detail
+            )
+        reason = outcomes.Reason.BACKEND_FAILED
+        if self._box.stopped is not None:
+            reason = self._box.stopped.reason
+        elif failed.silent:
+            reason = outcomes.Reason.BACKEND_SILENT
+        return outcomes.unknown(reason, failed.detail)
 
-    def _end(self, attempt: int, clean: bool, failed: bool = False) -> None:
+    def _end(self, attempt: int, failed: bool) -> None:
         self._daemon.loop.post(
-            events.RequestEnded(self._job.request_id, attempt, clean, failed)
+            events.RequestEnded(self._job.request_id, attempt, True, failed)
         )
 
 
+def _admit(refused: outcomes.Refused) -> outcomes.Refused:
+    """Takes "not run" out of a refusal that follows an earlier attempt."""
+    return outcomes.unknown(refused.reason, refused.detail)
+
+
+def _named_in_connection(headers: Iterable[tuple[str, str]]) -> set[str]:
+    """Returns the headers that a Connection header says are its own."""
+    return {
+        name.strip().lower()
+        for header, value in headers
+        if header.lower() == "connection"
+        for name in value.split(",")
+    }
+
+
 def fingerprint(job: Job) -> str:
     """Returns the hash by which a repeat of the same call is known."""
     digest = xxhash.xxh128()
@@ -253,14 +309,3 @@
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
     return digest.hexdigest()
-
-
-def _failed(failed: http_calls.Failed) -> outcomes.Refused:
-    """Turns a call without an answer into a refusal."""
-    if not failed.sent:
-        return outcomes.not_run(
-            outcomes.Reason.BACKEND_FAILED, RETRY_AFTER_S, failed.detail
-        )
-    if failed.detail == "no answer in time":
-        return outcomes.unknown(outcomes.Reason.BACKEND_SILENT, failed.detail)
-    return outcomes.unknown(outcomes.Reason.BACKEND_FAILED, failed.detail)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/daemon.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/daemon.py
@@ -1,9 +1,12 @@
 """One running daemon: the loop, its clients and its workers' tools."""
 
+from collections.abc import Iterator
 from concurrent import futures
+import contextlib
 import functools
 import os
 import random
+import socket
 import threading
 from typing import Any
 import uuid
@@ -11,6 +14,7 @@
 from hemlockreel import actions
 from hemlockreel import board as boards
 
+from . import callers_socket
 from . import engine_client
 from . import hostlist_client
 from . import logs
@@ -44,6 +48,8 @@
         self.metrics = metrics.Metrics()
         self.traces = traces.Traces(identity.host)
         self.mailboxes = mailbox.Mailboxes()
+        self.watcher = callers_socket.Watcher()
+        self.rng = random.Random(epoch + 1)  # of the workers
         self.loop = loop.Loop(self.board, self._perform)
         self.exiting = threading.Event()
         self._peers = peers.Peers(found.listen.peers, self.metrics)
@@ -53,6 +59,7 @@
 
     def start(self) -> None:
         """Starts the loop and the messages of peers."""
+        self.watcher.start()
         self._peers.start(self.loop.post)
         self.loop.start()
 
@@ -67,6 +74,21 @@
         """Returns a request id that no other request has."""
         return uuid.uuid4().hex
 
+    @contextlib.contextmanager
+    def carry(
+        self, request_id: str, caller: socket.socket
+    ) -> Iterator[mailbox.Mailbox]:
+        """Opens a mailbox that is stopped when the caller leaves."""
+        box = self.mailboxes.open(request_id)
+        try:
+            self.watcher.watch(caller, box)
+            yield box
+        finally:
+            self.watcher.forget(caller)
+            self.mailboxes.close(request_id)
+            if box.stopped is not None:
+                self.metrics.count("stopped", 1, (box.stopped.reason.value,))
+
     def _perform(self, action: actions.Action) -> None:
         """Does what the core wants; runs on the loop's thread."""
         perform(action, self)
--- /dev/null
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/decoding.py
@@ -0,0 +1,168 @@
+"""Reads the decode stream of one request, and resumes it after a cut."""
+
+from collections.abc import Iterator
+import time
+from typing import Any
+from typing import NamedTuple
+
+from hemlockreel import events
+from hemlockreel import messages
+from hemlockreel import outcomes
+
+from . import daemon as daemons
+from . import engine_client
+from . import http_calls
+from . import mailbox
+
+OPEN_TIMEOUT_S = 10.0  # a transfer over a busy link takes its time
+SILENCE_S = 2.0  # a stream without a token for so long is resumed
+MAX_RESUMES = 5  # in a row, without a token in between
+RESUME_PAUSE_S = 0.1  # doubled with each resume in a row
+
+NOT_RUN_STATUSES = (409, 507)  # the engine says that it did not decode
+
+
+class Finished(NamedTuple):
+    """The end of a whole answer."""
+
+    output_tokens: int
+
+
+class Failed(NamedTuple):
+    """No token came, so that another try may begin from the start.
+
+    ``exclude`` names the replicas to leave out then, ``fault`` tells whether
+    the engine did not do its part.
+    """
+
+    exclude: tuple[str, ...]
+    fault: bool
+
+
+class Decode:
+    """One decode under one grant.
+
+    After :meth:`run` ``output_tokens`` is the number of tokens that came.
+    """
+
+    def __init__(
+        self,
+        daemon: daemons.Daemon,
+        box: mailbox.Mailbox,
+        grant: messages.Grant,
+        body: dict[str, Any],
+        traceparent: str,
+    ):
+        self._daemon = daemon
+        self._box = box
+        self._grant = grant
+        self._body = body
+        self._traceparent = traceparent
+        self.output_tokens = 0
+
+    def run(self) -> Iterator[str | Finished | Failed | outcomes.Refused]:
+        """Yields the text, then the end of the answer or why it has none."""
+        failures = 0
+        while failures <= MAX_RESUMES:
+            before = self.output_tokens
+            end = yield from self._stream()
+            if end is not None:
+                yield end
+                return
+            if self._box.stopped is not None:
+                yield outcomes.unknown(self._box.stopped.reason)
+                return
+            if self.output_tokens == 0:
+                yield Failed((self._grant.replica,), fault=True)
+                return
+            failures = 0 if self.output_tokens > before else failures + 1
+            self._pause(failures)
+            self._daemon.metrics.count("resumed_streams")
+        yield outcomes.unknown(
+            outcomes.Reason.BACKEND_FAILED, "the answer was cut"
+        )
+
+    def _pause(self, failures: int) -> None:
+        if failures:
+            jitter = 0.5 + self._daemon.rng.random()
+            time.sleep(RESUME_PAUSE_S * 2 ** (failures - 1) * jitter)
+
+    def _stream(self) -> Iterator[str]:
+        """Yields the text of one connection.
+
+        Returns how the request ended, ``None`` when the stream was cut.
+        """
+        opened = self._open()
+        if not isinstance(opened, http_calls.Opened):
+            return opened
+        try:
+            for token in engine_client.tokens(opened, SILENCE_S, self._box):
+                if not self._is_mine(token):
+                    continue
+                if token.offset > self.output_tokens:
+                    return None  # A token is missing.
+                if token.offset < self.output_tokens:
+                    continue
+                yield from self._take(token)
+                if token.done:
+                    return Finished(self.output_tokens)
+        finally:
+            opened.close()
+        return None
+
+    def _open(
+        self,
+    ) -> http_calls.Opened | Failed | outcomes.Refused | None:
+        """Starts or resumes the decode; ``None`` when the call failed."""
+        body = {**self._body, "offset": self.output_tokens}
+        with self._daemon.traces.span(
+            "transfer",
+            self._traceparent,
+            request_id=self._grant.request_id,
+            source=self._grant.prefill,
+            replica=self._grant.replica,
+        ) as traceparent:
+            opened = engine_client.decode(
+                self._grant.replica,
+                body,
+                traceparent,
+                OPEN_TIMEOUT_S,
+                self._box,
+            )
+        if isinstance(opened, http_calls.Failed):
+            return self._not_opened(opened)
+        status = opened.response.status
+        if status == 200:
+            return opened
+        opened.close()
+        if self.output_tokens == 0 and status in NOT_RUN_STATUSES:
+            # A prefill result that was evicted is no fault of the engine.
+            full = status != 409
+            exclude = (self._grant.replica,) if full else ()
+            return Failed(exclude, fault=False)
+        return outcomes.unknown(
+            outcomes.Reason.BACKEND_FAILED, f"the engine answered {status}"
+        )
+
+    def _not_opened(self, failed: http_calls.Failed) -> Failed | None:
+        if failed.sent or self.output_tokens:
+            return None
+        return Failed((self._grant.replica,), fault=True)
+
+    def _is_mine(self, token: engine_client.Token) -> bool:
+        mine = (token.request_id, token.attempt) == (
+            self._body["request_id"],
+            self._body["attempt"],
+        )
+        if not mine:
+            self._daemon.metrics.count("wrong_answers")
+        return mine
+
+    def _take(self, token: engine_client.Token) -> Iterator[str]:
+        """Yields the text of the next token of this request."""
+        if self.output_tokens == 0:
+            first = events.FirstTokenCame(self._body["request_id"])
+            self._daemon.loop.post(first)
+        self.output_tokens += 1
+        if token.text:
+            yield token.text
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/generate.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/generate.py
@@ -1,8 +1,7 @@
 """Carries one generation request: grant, prefill, transfer, decode."""
 
-from collections.abc import Callable
 from collections.abc import Iterator
-import queue
+import socket
 import time
 from typing import Any
 from typing import NamedTuple
@@ -12,22 +11,24 @@
 from hemlockreel import outcomes
 from hemlockreel import prefixes
 
-from . import callers_socket
 from . import daemon as daemons
+from . import decoding
 from . import engine_client
 from . import http_calls
+from . import mailbox
 from . import traces
 
 GRANT_MARGIN_S = 1.0  # the entry's own deadline ends the wait before this
 PREFILL_TIMEOUT_S = 30.0
-DECODE_TIMEOUT_S = 10.0
-SILENCE_S = 2.0  # a stream without a token for so long is resumed
-MAX_RESUMES = 5
+CANCEL_TIMEOUT_S = 1.0
 MAX_ATTEMPTS = 3
 
 
 class Job(NamedTuple):
-    """A caller's checked request for a completion."""
+    """A caller's checked request for a completion.
+
+    ``caller`` is the caller's connection.
+    """
 
     request_id: str
     model: str
@@ -37,7 +38,7 @@
     max_tokens: int
     deadline_s: float
     priority: int
-    gone: Callable[[], bool]
+    caller: socket.socket
     traceparent: str
 
 
@@ -49,62 +50,75 @@
     decode: str
 
 
-class Finished(NamedTuple):
-    """The end of a whole answer."""
-
-    output_tokens: int
-
-
-Part = Hop | str | Finished | outcomes.Refused
+Part = Hop | str | decoding.Finished | outcomes.Refused
 
 
 def run(daemon: daemons.Daemon, job: Job) -> Iterator[Part]:
     """Yields the hop, the pieces of text and the end of one completion.
 
-    The last part is :class:`Finished` or a refusal. A refusal after text
-    means that the answer was cut and the text is not the whole answer.
+    The last part is :class:`decoding.Finished` or a refusal. A refusal after
+    text means that the answer was cut and the text is not the whole answer.
     """
-    box = daemon.mailboxes.open(job.request_id)
+    with daemon.carry(job.request_id, job.caller) as box:
+        yield from _try(daemon, job, box)
+
+
+def _try(
+    daemon: daemons.Daemon, job: Job, box: mailbox.Mailbox
+) -> Iterator[Part]:
     excluded: tuple[str, ...] = ()
-    try:
-        for attempt in range(1, MAX_ATTEMPTS + 1):
-            carry = _Attempt(daemon, job, box, attempt)
-            yield from carry.run(excluded)
-            if carry.retry_without is None:
-                return
-            excluded += carry.retry_without
-        yield outcomes.not_run(outcomes.Reason.BACKEND_REFUSED, 1.0)
-    finally:
-        daemon.mailboxes.close(job.request_id)
+    ran = False
+    for number in range(1, MAX_ATTEMPTS + 1):
+        attempt = _Attempt(daemon, job, box, number, excluded)
+        for part in attempt.run():
+            yield _admit(part) if ran else part
+        if attempt.retry_without is None:
+            return
+        ran = ran or attempt.sent
+        excluded += attempt.retry_without
+    yield outcomes.unknown(
+        outcomes.Reason.BACKEND_FAILED, f"{MAX_ATTEMPTS} attempts failed"
+    )
+
+
+def _admit(part: Part) -> Part:
+    """Takes "not run" out of a refusal that follows an earlier attempt."""
+    if not isinstance(part, outcomes.Refused):
+        return part
+    return outcomes.unknown(part.reason, part.detail)
 
 
 class _Attempt:
     """One try of a request, under one grant.
 
     ``retry_without`` is set when nothing was answered and another try may
-    help; it names the replicas to leave out.
+    help; it names the replicas to leave out. ``sent`` tells whether any byte
+    may have reached an engine.
     """
 
     def __init__(
         self,
         daemon: daemons.Daemon,
         job: Job,
-        box: queue.SimpleQueue,
-        attempt: int,
+        box: mailbox.Mailbox,
+        number: int,
+        excluded: tuple[str, ...],
     ):
         self._daemon = daemon
         self._job = job
         self._box = box
-        self._attempt = attempt
+        self._number = number
+        self._excluded = excluded
         self._clean = False
         self._failed = False
-        self._done = 0
+        self._output_tokens = 0
+        self.sent = False
         self.retry_without: tuple[str, ...] | None = None
 
-    def run(self, excluded: tuple[str, ...]) -> Iterator[Part]:
+    def run(self) -> Iterator[Part]:
         """Yields the parts of this try."""
         try:
-            grant = self._ask(excluded)
+            grant = self._ask()
             if isinstance(grant, outcomes.Refused):
                 self._clean = True
                 yield grant
@@ -115,20 +129,18 @@
             self._daemon.loop.post(
                 events.RequestEnded(
                     self._job.request_id,
-                    self._attempt,
+                    self._number,
                     self._clean,
                     self._failed,
-                    self._done,
+                    self._output_tokens,
                 )
             )
 
-    def _ask(
-        self, excluded: tuple[str, ...]
-    ) -> messages.Grant | outcomes.Refused:
+    def _ask(self) -> messages.Grant | outcomes.Refused:
         job = self._job
         asked = events.GenerationAsked(
             job.request_id,
-            self._attempt,
+            self._number,
             job.model,
             job.organisation,
             job.klass,
@@ -136,16 +148,13 @@
             job.max_tokens,
             prefixes.chain(job.prompt),
             job.deadline_s,
-            excluded,
+            self._excluded,
             job.traceparent,
         )
         self._daemon.loop.post(asked)
-        value = callers_socket.wait(
-            self._box, job.deadline_s + GRANT_MARGIN_S, job.gone
-        )
-        if value is callers_socket.Gone:
-            self._daemon.metrics.count("callers_gone")
-            return outcomes.not_run(outcomes.Reason.CALLER_GONE)
+        value = self._box.get(job.deadline_s + GRANT_MARGIN_S)
+        if isinstance(value, mailbox.Stopped):
+            return outcomes.not_run(value.reason)
         if value is None:
             return outcomes.not_run(outcomes.Reason.LATE, 1.0)
         return value
@@ -154,18 +163,17 @@
         prefilled = self._prefill(grant)
         if isinstance(prefilled, outcomes.Refused):
             yield prefilled
-            return
-        if prefilled is None:
-            return
-        yield from self._decode(grant, prefilled)
+        elif prefilled is not None:
+            yield from self._decode(grant, prefilled)
 
     def _prefill(
         self, grant: messages.Grant
     ) -> dict[str, Any] | outcomes.Refused | None:
+        """Returns the engine's answer, ``None`` when another try may help."""
         job = self._job
         body = {
             "request_id": job.request_id,
-            "attempt": self._attempt,
+            "attempt": self._number,
             "prompt": job.prompt,
             "priority": job.priority,
         }
@@ -176,16 +184,16 @@
             replica=grant.prefill,
         ) as traceparent:
             answer = engine_client.prefill(
-                grant.prefill, body, traceparent, PREFILL_TIMEOUT_S, job.gone
+                grant.prefill, body, traceparent, PREFILL_TIMEOUT_S, self._box
             )
-        if isinstance(answer, http_calls.Failed) and answer.gone:
-            return outcomes.unknown(outcomes.Reason.CALLER_GONE)
-        if isinstance(answer, http_calls.Failed) or answer[0] != 200:
+        failed = isinstance(answer, http_calls.Failed)
+        self.sent = not failed or answer.sent
+        if self._box.stopped is not None:
+            return outcomes.unknown(self._box.stopped.reason)
+        if failed or answer[0] != 200 or not self._is_mine(answer[1]):
             self._failed = True
-            self.retry_without = (grant.prefill,)
-            return None
-        if not self._is_mine(answer[1]):
-            self.retry_without = ()
+            self._clean = not self.sent
+            self._give_up(grant, (grant.prefill,))
             return None
         cached = answer[1]["cached_tokens"]
         self._daemon.loop.post(events.PrefillEnded(job.request_id, cached))
@@ -194,93 +202,59 @@
     def _decode(
         self, grant: messages.Grant, prefilled: dict[str, Any]
     ) -> Iterator[Part]:
-        for resumes in range(MAX_RESUMES + 1):
-            if resumes:
-                self._daemon.metrics.count("resumed_streams")
-            opened = self._open(grant, prefilled)
-            if isinstance(opened, outcomes.Refused):
-                yield opened
-                return
-            if opened is None:
-                if self.retry_without is not None:
-                    return
-                continue
-            try:
-                for token in engine_client.tokens(opened, SILENCE_S):
-                    yield from self._take(token)
-                    if self._clean:
-                        return
-            finally:
-                opened.close()
-        self._failed = True
-        yield outcomes.unknown(
-            outcomes.Reason.BACKEND_FAILED, "the answer was cut"
-        )
-
-    def _open(
-        self, grant: messages.Grant, prefilled: dict[str, Any]
-    ) -> http_calls.Opened | outcomes.Refused | None:
-        """Starts or resumes the decode; ``None`` to try once more."""
         job = self._job
         body = {
             "request_id": job.request_id,
-            "attempt": self._attempt,
+            "attempt": self._number,
             "handle": prefilled["handle"],
             "source": grant.prefill,
             "prompt_tokens": prefilled["prompt_tokens"],
             "max_tokens": job.max_tokens,
-            "offset": self._done,
             "priority": job.priority,
         }
-        with self._daemon.traces.span(
-            "transfer",
-            job.traceparent,
-            request_id=job.request_id,
-            source=grant.prefill,
-            replica=grant.replica,
-        ) as traceparent:
-            opened = engine_client.decode(
-                grant.replica, body, traceparent, DECODE_TIMEOUT_S, job.gone
-            )
-        if isinstance(opened, http_calls.Failed):
-            if opened.gone:
-                return outcomes.unknown(outcomes.Reason.CALLER_GONE)
-            return None
-        status = opened.response.status
-        if status == 200:
-            return opened
-        opened.close()
-        if self._done == 0 and status in (409, 507):
-            # The engine itself says that it did not run the decode.
-            self.retry_without = () if status == 409 else (grant.replica,)
-            return None
-        self._failed = True
-        return outcomes.unknown(
-            outcomes.Reason.BACKEND_FAILED, f"the engine answered {status}"
+        decode = decoding.Decode(
+            self._daemon, self._box, grant, body, job.traceparent
         )
-
-    def _take(self, token: engine_client.Token) -> Iterator[str | Finished]:
-        """Yields a token that is the next one of this request."""
-        if (token.request_id, token.attempt) != (
-            self._job.request_id,
-            self._attempt,
-        ):
-            self._daemon.metrics.count("wrong_answers")
-            return
-        if token.text and token.offset == self._done:
-            if self._done == 0:
-                first = events.FirstTokenCame(self._job.request_id)
-                self._daemon.loop.post(first)
-            self._done += 1
-            yield token.text
-        if token.done:
-            self._clean = True
-            yield Finished(self._done)
+        try:
+            for part in decode.run():
+                if isinstance(part, decoding.Failed):
+                    self._failed = part.fault
+                    self._give_up(grant, part.exclude)
+                    return
+                self._clean = isinstance(part, decoding.Finished)
+                if isinstance(part, outcomes.Refused):
+                    self._failed = not self._box.stopped
+                yield part
+        finally:
+            self._output_tokens = decode.output_tokens
+
+    def _give_up(
+        self, grant: messages.Grant, exclude: tuple[str, ...]
+    ) -> None:
+        """Frees what this try holds, so that another one may begin.
+
+        A cancel names the request and not the attempt. If it came after the
+        next attempt had begun, it would end that one. So it is confirmed
+        first, and a replica that does not confirm it is left out.
+        """
+        unconfirmed = []
+        if not self._clean:
+            unconfirmed = [
+                address
+                for address in (grant.prefill, grant.replica)
+                if not engine_client.cancel(
+                    address, self._job.request_id, CANCEL_TIMEOUT_S
+                )
+            ]
+        self._clean = not unconfirmed
+        if unconfirmed:
+            unconfirmed = [grant.prefill, grant.replica]
+        self.retry_without = tuple({*exclude, *unconfirmed})
 
     def _is_mine(self, answer: dict[str, Any]) -> bool:
-        mine = (answer["request_id"], answer["attempt"]) == (
+        mine = (answer.get("request_id"), answer.get("attempt")) == (
             self._job.request_id,
-            self._attempt,
+            self._number,
         )
         if not mine:
             self._daemon.metrics.count("wrong_answers")
@@ -297,7 +271,7 @@
     decode = None
     try:
         for part in run(daemon, below):
-            if isinstance(part, str) and decode is None:
+            if decode is None and isinstance(part, str):
                 daemon.metrics.first_token.observe(time.monotonic() - started)
                 decode = daemon.traces.start(
                     "decode", below.traceparent, request_id=job.request_id
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/http_calls.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/http_calls.py
@@ -5,9 +5,9 @@
 has forgotten is never used again. It costs one round trip.
 """
 
-from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import json
-import select
 import socket
 from typing import Any
 from typing import NamedTuple
@@ -16,18 +16,22 @@
 from urllib3 import connection
 from urllib3 import exceptions
 
+from . import mailbox
+
 CONNECT_TIMEOUT_S = 1.0
-POLL_S = 0.1
 
 FAILURES = (exceptions.HTTPError, OSError)
 
 
 class Failed(NamedTuple):
-    """No answer; ``sent`` tells whether any byte may have arrived."""
+    """No answer; ``sent`` tells whether any byte may have arrived.
+
+    ``silent`` tells that the time-out passed without an answer.
+    """
 
     sent: bool
     detail: str
-    gone: bool = False
+    silent: bool = False
 
 
 class Opened(NamedTuple):
@@ -35,11 +39,13 @@
 
     connection: connection.HTTPConnection
     response: urllib3.BaseHTTPResponse
+    sock: socket.socket
 
     def close(self) -> None:
         """Closes the connection, whatever of the body was read."""
         self.response.close()
         self.connection.close()
+        self.sock.close()
 
 
 def open_call(
@@ -49,12 +55,11 @@
     body: bytes | None = None,
     headers: dict[str, str] | None = None,
     timeout_s: float = 10.0,
-    gone: Callable[[], bool] | None = None,
+    box: mailbox.Mailbox | None = None,
 ) -> Opened | Failed:
     """Sends a request and waits for the head of its answer.
 
-    While it waits it asks ``gone`` whether the caller has left; the call is
-    then given up.
+    The call fails at once when ``box`` is told to stop.
     """
     host, _, port = address.rpartition(":")
     link = connection.HTTPConnection(
@@ -65,24 +70,22 @@
     except FAILURES as error:
         link.close()
         return Failed(False, f"connect: {error}")
+    sock = link.sock
     try:
-        link.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        link.sock.settimeout(timeout_s)
-        link.request(
-            method,
-            path,
-            body=body,
-            headers=headers or {},
-            preload_content=False,
-        )
-        if not _await_answer(link.sock, timeout_s, gone):
-            link.close()
-            caller_left = gone is not None and gone()
-            return Failed(True, "no answer in time", caller_left)
-        return Opened(link, link.getresponse())
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(timeout_s)
+        with interrupting(box, sock):
+            link.request(
+                method,
+                path,
+                body=body,
+                headers=headers or {},
+                preload_content=False,
+            )
+            return Opened(link, link.getresponse(), sock)
     except FAILURES as error:
         link.close()
-        return Failed(True, f"{type(error).__name__}: {error}")
+        return describe(error)
 
 
 def call_json(
@@ -92,34 +95,37 @@
     body: Any = None,
     headers: dict[str, str] | None = None,
     timeout_s: float = 1.0,
-    gone: Callable[[], bool] | None = None,
+    box: mailbox.Mailbox | None = None,
 ) -> tuple[int, dict[str, Any], dict[str, str]] | Failed:
     """Calls with JSON both ways; returns status, body and headers."""
     data = None if body is None else json.dumps(body).encode()
     sent = {"Content-Type": "application/json", **(headers or {})}
-    opened = open_call(address, method, path, data, sent, timeout_s, gone)
+    opened = open_call(address, method, path, data, sent, timeout_s, box)
     if isinstance(opened, Failed):
         return opened
     try:
-        answer = json.loads(opened.response.read() or b"{}")
+        with interrupting(box, opened.sock):
+            answer = json.loads(opened.response.read() or b"{}")
         return opened.response.status, answer, dict(opened.response.headers)
     except (*FAILURES, ValueError) as error:
-        return Failed(True, f"{type(error).__name__}: {error}")
+        return describe(error)
     finally:
         opened.close()
 
 
-def _await_answer(
-    sock: socket.socket,
-    timeout_s: float,
-    gone: Callable[[], bool] | None,
-) -> bool:
-    """Waits until ``sock`` can be read; false on time-out or caller gone."""
-    left = timeout_s
-    while left > 0:
-        if select.select([sock], [], [], min(left, POLL_S))[0]:
-            return True
-        left -= POLL_S
-        if gone is not None and gone():
-            return False
-    return False
+def describe(error: Exception) -> Failed:
+    """Returns the failure of a call that may have reached the server."""
+    silent = isinstance(error, TimeoutError | exceptions.TimeoutError)
+    return Failed(True, f"{type(error).__name__}: {error}", silent)
+
+
+@contextlib.contextmanager
+def interrupting(
+    box: mailbox.Mailbox | None, sock: socket.socket
+) -> Iterator[None]:
+    """Lets ``box``, if there is one, interrupt the use of ``sock``."""
+    if box is None:
+        yield
+        return
+    with box.interrupting(sock):
+        yield
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/metrics.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/metrics.py
@@ -15,7 +15,7 @@
     "wrong_answers": ("Backend answers with another request's id.", ()),
     "lost_messages": ("Messages to peers that could not be sent.", ()),
     "broken_messages": ("Messages from peers that were none.", ()),
-    "callers_gone": ("Callers that left before their answer.", ()),
+    "stopped": ("Requests given up before their answer.", ("reason",)),
 }
 
 
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/servers.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/servers.py
@@ -1,34 +1,98 @@
 """The HTTP servers of the daemon: CherryPy applications on cheroot."""
 
+from collections.abc import Iterable
 import threading
 from typing import Any
+from urllib import parse
 
+from cheroot import server
 from cheroot import wsgi
 import cherrypy
 
+from . import answers
+
 SOCKET_KEY = "hemlockreel.socket"
+LINES_KEY = "hemlockreel.header_lines"
+REPEATED_KEY = "hemlockreel.repeated_headers"
 
 # CherryPy's engine is not started: its reloader, signal handlers and access
-# log stay off.
+# log stay off. Paths and queries are passed on as they came, so nothing may
+# fail on their encoding.
 CONFIG = {
     "/": {
         "request.process_request_body": False,
         "request.show_tracebacks": False,
         "request.show_mismatched_params": False,
+        "request.query_string_encoding": "latin-1",
+        "request.uri_encoding": "latin-1",
+        "request.error_response": answers.fail_unexpectedly,
         "tools.trailing_slash.on": False,
         "tools.encode.on": False,
+        "tools.no_parameters.on": True,
     }
 }
 
 
+def _drop_parameters() -> None:
+    """Keeps the query out of the handler's arguments."""
+    cherrypy.request.params = {}
+
+
+class _Recorder:
+    """Reads lines and keeps them."""
+
+    def __init__(self, rfile: Any, lines: list[bytes]):
+        self._rfile = rfile
+        self._lines = lines
+
+    def readline(self) -> bytes:
+        """Returns the next line."""
+        line = self._rfile.readline()
+        self._lines.append(line)
+        return line
+
+
+class _HeaderReader(server.HeaderReader):
+    """Keeps the header lines as they came, with those that are repeated."""
+
+    def __init__(self):
+        self.lines: list[bytes] = []
+
+    def __call__(self, rfile, hdict=None):
+        return super().__call__(_Recorder(rfile, self.lines), hdict)
+
+
+class _Request(server.HTTPRequest):
+    """A request that knows its header lines."""
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.header_reader = _HeaderReader()
+
+
+class _Connection(server.HTTPConnection):
+    RequestHandlerClass = _Request
+
+
 class _Gateway(wsgi.Gateway_10):
-    """Lets a worker look at the socket of its caller."""
+    """Lets a worker look at the socket and the header lines of its caller."""
 
     def get_environ(self):
         environ = super().get_environ()
         environ[SOCKET_KEY] = self.req.conn.socket
+        environ[LINES_KEY] = self.req.header_reader.lines
         return environ
 
+    def respond(self):
+        """Answers, with the headers that occur more than once."""
+        self.env[REPEATED_KEY] = []
+        super().respond()
+
+    def start_response(self, status, headers, exc_info=None):
+        """Adds the headers that CherryPy's mapping has no place for."""
+        headers = list(headers) + self.env[REPEATED_KEY]
+        return super().start_response(status, headers, exc_info)
+
 
 class Server:
     """One listener with its own threads."""
@@ -37,6 +101,9 @@
         cherrypy.config.update(
             {"environment": "embedded", "log.screen": False}
         )
+        cherrypy.tools.no_parameters = cherrypy.Tool(
+            "before_handler", _drop_parameters
+        )
         application = cherrypy.Application(root, "", CONFIG)
         application.log.access_log.handlers = []
         host, _, port = address.rpartition(":")
@@ -48,6 +115,7 @@
             server_name="hemlockreel",
         )
         self._server.gateway = _Gateway
+        self._server.ConnectionClass = _Connection
         self._server.shutdown_timeout = 1
 
     def start(self) -> None:
@@ -60,3 +128,45 @@
     def stop(self) -> None:
         """Closes the listener and its connections."""
         self._server.stop()
+
+
+def target() -> str:
+    """Returns path and query of the request at hand as they came."""
+    uri = cherrypy.request.wsgi_environ["REQUEST_URI"]
+    if uri.startswith("/"):
+        return uri
+    split = parse.urlsplit(uri)
+    return parse.urlunsplit(("", "", split.path or "/", split.query, ""))
+
+
+def query() -> dict[str, str]:
+    """Returns the parameters of the query of the request at hand."""
+    return dict(parse.parse_qsl(cherrypy.request.query_string))
+
+
+def headers() -> tuple[tuple[str, str], ...]:
+    """Returns the headers of the request at hand, repeated ones too."""
+    lines = cherrypy.request.wsgi_environ[LINES_KEY]
+    found: list[tuple[str, str]] = []
+    for line in lines:
+        text = line.decode("latin-1").rstrip("\r\n")
+        if text[:1] in (" ", "\t"):
+            name, value = found.pop()
+            found.append((name, f"{value} {text.strip()}"))
+        elif text:
+            name, _, value = text.partition(":")
+            found.append((name.strip(), value.strip()))
+    return tuple(found)
+
+
+def send_headers(given: Iterable[tuple[str, str]]) -> None:
+    """Sets headers of the answer at hand, those that are repeated too."""
+    mapping = cherrypy.response.headers
+    repeated = cherrypy.request.wsgi_environ[REPEATED_KEY]
+    seen = set()
+    for name, value in given:
+        if name.lower() in seen:
+            repeated.append((name, value))
+        else:
+            seen.add(name.lower())
+            mapping[name] = value
--- a/packages/hemlockreel/hemlockreel/entry.py
+++ b/packages/hemlockreel/hemlockreel/entry.py
@@ -80,9 +80,9 @@
         )
         yield actions.Tell(event.request_id, refused)
         return
-    output_tokens = min(
-        event.max_tokens or pool.max_output_tokens, pool.max_output_tokens
-    )
+    # The worker has limited the length by the configuration that it saw, and
+    # will decode as much: what is reserved must be the same.
+    output_tokens = event.max_tokens or pool.max_output_tokens
     ask = messages.Ask(
         sender=board.identity.host,
         epoch=board.identity.epoch,
--- a/packages/hemlockreel/hemlockreel/outcomes.py
+++ b/packages/hemlockreel/hemlockreel/outcomes.py
@@ -34,6 +34,7 @@
     BACKEND_SILENT = "backend_silent"
     REVOKED = "grant_revoked"
     CALLER_GONE = "caller_gone"
+    INTERNAL_ERROR = "internal_error"
 
 
 class Ran(enum.Enum):
--- /dev/null
+++ b/standins/hemlockreel_standins/caller.py
@@ -0,0 +1,140 @@
+"""A caller of the system, who can tell a whole answer from a cut one."""
+
+import json
+import socket
+from typing import Any
+from typing import NamedTuple
+
+import urllib3
+
+from . import engine
+
+TIMEOUT_S = 30.0
+HTTP = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
+
+
+class Heard(NamedTuple):
+    """What came of a streamed completion.
+
+    ``done`` tells whether the stream ended with its end mark, ``clean``
+    whether the body ended as HTTP says, ``error`` is the refusal that came.
+    """
+
+    status: int
+    request_id: str
+    text: str
+    done: bool
+    clean: bool
+    error: dict[str, Any] | None = None
+
+    def whole(self, tokens: int) -> bool:
+        """Tells whether this is the whole answer to its own request."""
+        wanted = engine.answer(self.request_id, tokens)
+        return self.done and self.clean and self.text == wanted
+
+
+class Stream:
+    """A streamed completion that is being read."""
+
+    def __init__(self, address: str, asked: dict[str, Any]):
+        self._response = HTTP.request(
+            "POST",
+            f"http://{address}/v1/completions",
+            body=json.dumps({**asked, "stream": True}).encode(),
+            headers={"Content-Type": "application/json"},
+            preload_content=False,
+        )
+        self.status = self._response.status
+        self.request_id = self._response.headers.get("X-Request-Id", "")
+        self._chunks = self._response.stream(None, decode_content=False)
+        self._text: list[str] = []
+        self._done = False
+        self._error: dict[str, Any] | None = None
+
+    def read_tokens(self, count: int) -> None:
+        """Reads until ``count`` pieces of text have come."""
+        while len(self._text) < count:
+            self._take(next(self._chunks))
+
+    def read_all(self) -> Heard:
+        """Reads to the end of the body."""
+        clean = True
+        try:
+            for chunk in self._chunks:
+                self._take(chunk)
+        except (urllib3.exceptions.HTTPError, OSError):
+            clean = False
+        finally:
+            self.close()
+        return Heard(
+            self.status,
+            self.request_id,
+            "".join(self._text),
+            self._done,
+            clean,
+            self._error,
+        )
+
+    def close(self) -> None:
+        """Closes the connection, whatever is still to come."""
+        self._response.close()
+
+    def _take(self, chunk: bytes) -> None:
+        """Takes over the events of one chunk, which are always whole."""
+        if self.status != 200:
+            self._error = json.loads(chunk)["error"]
+            return
+        for event in chunk.decode().split("\n\n"):
+            data = event.removeprefix("data: ")
+            if data == "[DONE]":
+                self._done = True
+            elif data:
+                self._take_value(json.loads(data))
+
+    def _take_value(self, value: dict[str, Any]) -> None:
+        if "error" in value:
+            self._error = value["error"]
+        for choice in value.get("choices", ()):
+            if choice["text"]:
+                self._text.append(choice["text"])
+
+
+def complete(address: str, asked: dict[str, Any]) -> tuple[int, Any]:
+    """Asks for a completion at once; returns the status and the answer."""
+    answer = HTTP.request(
+        "POST",
+        f"http://{address}/v1/completions",
+        body=json.dumps(asked).encode(),
+        headers={"Content-Type": "application/json"},
+    )
+    return answer.status, answer.json()
+
+
+def send(address: str, asked: dict[str, Any]) -> socket.socket:
+    """Sends a request for a completion and returns its connection."""
+    body = json.dumps(asked).encode()
+    head = (
+        "POST /v1/completions HTTP/1.1\r\n"
+        f"Host: {address}\r\n"
+        "Content-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return send_raw(address, head.encode() + body)
+
+
+def send_raw(address: str, data: bytes) -> socket.socket:
+    """Sends ``data`` as it is and returns the connection."""
+    host, _, port = address.rpartition(":")
+    found = socket.create_connection((host, int(port)), TIMEOUT_S)
+    found.sendall(data)
+    return found
+
+
+def exchange_raw(address: str, data: bytes) -> bytes:
+    """Sends ``data``, then returns all that comes until the end."""
+    with send_raw(address, data) as found:
+        found.shutdown(socket.SHUT_WR)
+        parts = []
+        while part := found.recv(65536):
+            parts.append(part)
+    return b"".join(parts)
--- a/standins/hemlockreel_standins/engine.py
+++ b/standins/hemlockreel_standins/engine.py
@@ -45,6 +45,8 @@
 
     faults = {
         "cut_after_tokens": 0,
+        "mute_after_tokens": 0,
+        "skip_token": False,
         "wrong_id": False,
         "repeat_answer": False,
         "lose_answers": 0,
@@ -238,16 +240,27 @@
                 if self._cut_here(sent):
                     yield None
                     return
+                if self._mute_here(sent):
+                    self.wait(lambda: False)
+                    yield None
+                    return
                 yield from self._lines(body, offset)
                 offset += 1
                 sent += 1
 
     def _cut_here(self, sent: int) -> bool:
+        return self._reached("cut_after_tokens", sent)
+
+    def _mute_here(self, sent: int) -> bool:
+        return self._reached("mute_after_tokens", sent)
+
+    def _reached(self, fault: str, sent: int) -> bool:
+        """Uses up a fault that strikes after so many tokens."""
         with self.lock:
-            limit = self.faults["cut_after_tokens"]
+            limit = self.faults[fault]
             if not limit or sent < limit:
                 return False
-            self.faults["cut_after_tokens"] = 0
+            self.faults[fault] = 0
             return True
 
     def _lines(self, body: dict[str, Any], offset: int) -> Iterator[bytes]:
@@ -264,6 +277,8 @@
             stray = {**line, "request_id": other, "text": text(other, offset)}
             yield json.dumps(stray).encode() + b"\n"
         data = json.dumps(line).encode() + b"\n"
+        if offset > 0 and self.take("skip_token"):
+            return
         yield data
         if self.take("repeat_answer"):
             yield data
