Settle a claim by one conditional write, and free what never ran

Cause: a claim whose answer was lost stayed in the store for ever, so the caller was told 'not run' and every repeat 'unknown'; attempts of two hosts were told apart by the request id only, and outcomes were not recorded.

Keys live in buckets of the store, read and written back on condition. An entry moves none -> claimed -> answered or unknown, or to free, which only the claiming attempt itself writes; a repeat never runs a claim that has no outcome. An unanswered write is tried again under the same condition, so the answer to the second tells what became of the first. Given-up claims and outcomes are retried until the store takes them. A silent store is asked by one call at a time, and all other claims are refused at once.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/answers.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/answers.py
@@ -16,6 +16,8 @@
     outcomes.Reason.KEY_REQUIRED: 400,
     outcomes.Reason.KEY_REUSED: 422,
     outcomes.Reason.IN_PROGRESS: 409,
+    outcomes.Reason.OUTCOME_UNKNOWN: 409,
+    outcomes.Reason.ANSWER_NOT_KEPT: 409,
     outcomes.Reason.QUOTA: 429,
     outcomes.Reason.BACKEND_REFUSED: 502,
     outcomes.Reason.BACKEND_FAILED: 502,
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/calls.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/calls.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import queue
+import time
 from typing import Any
 from typing import NamedTuple
 
@@ -83,9 +84,25 @@
         self._job = job
         self._box = box
         self._idempotent = job.method not in job.route.non_idempotent
-        self._claimed = False
+        self._claim_asked = False
+        self._send_until: float | None = None  # of the claim, once it is held
 
     def run(self) -> Carried:
+        """Returns the outcome and has it recorded if a key was claimed."""
+        outcome: outcomes.Answered | outcomes.Refused = outcomes.unknown(
+            outcomes.Reason.BACKEND_FAILED
+        )
+        try:
+            carried = self._try()
+            outcome = carried.outcome
+            return carried
+        finally:
+            if self._claim_asked:
+                self._daemon.loop.post(
+                    events.ClaimEnded(self._job.request_id, outcome)
+                )
+
+    def _try(self) -> Carried:
         """Tries until there is an answer, or another try could run twice."""
         excluded: tuple[str, ...] = ()
         carried = Carried(outcomes.not_run(outcomes.Reason.NO_BACKEND, 1.0))
@@ -98,10 +115,6 @@
             if not self._may_repeat(carried.outcome):
                 break
             excluded += (grant.replica,)
-        if self._claimed:
-            self._daemon.loop.post(
-                events.ClaimEnded(self._job.request_id, carried.outcome)
-            )
         return carried
 
     def _may_repeat(
@@ -142,6 +155,12 @@
             refused = self._claim(attempt)
             if refused is not None:
                 return Carried(refused, grant.sender)
+            if self._is_late():
+                # This process or host was stopped for a while. The caller
+                # has most likely asked elsewhere by now.
+                reason = outcomes.Reason.STORE_UNAVAILABLE
+                refused = outcomes.not_run(reason, RETRY_AFTER_S)
+                return Carried(refused, grant.sender)
             outcome = self._send(grant, attempt)
             failed = isinstance(outcome, outcomes.Refused)
             return Carried(outcome, grant.sender, grant.replica)
@@ -153,8 +172,9 @@
     ) -> outcomes.Answered | outcomes.Refused | None:
         """Claims the key; ``None`` when the call may be sent now."""
         job = self._job
-        if self._idempotent or not job.key or self._claimed:
+        if self._idempotent or not job.key or self._send_until is not None:
             return None
+        self._claim_asked = True
         asked = events.ClaimAsked(
             job.request_id,
             attempt,
@@ -165,7 +185,7 @@
         self._daemon.loop.post(asked)
         value = self._wait(CLAIM_TIMEOUT_S)
         if isinstance(value, claims.Claimed):
-            self._claimed = True
+            self._send_until = value.send_until
             return None
         if value is None or value is callers_socket.Gone:
             return outcomes.not_run(
@@ -173,6 +193,11 @@
             )
         return value
 
+    def _is_late(self) -> bool:
+        """Returns whether the claim is held for too long to send now."""
+        until = self._send_until
+        return until is not None and time.monotonic() > until
+
     def _send(
         self, grant: messages.Grant, attempt: int
     ) -> outcomes.Answered | outcomes.Refused:
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/loop.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/loop.py
@@ -63,14 +63,14 @@
             try:
                 event = self._events.get(timeout=max(wait, 0.0))
             except queue.Empty:
-                event = events.Tick()
+                event = events.Tick(time.time())
                 next_tick = time.monotonic() + TICK_S
             if isinstance(event, _Question):
                 event.answers.put(event.question(self._board))
                 continue
             self._step(event)
             if time.monotonic() >= next_tick:
-                self._step(events.Tick())
+                self._step(events.Tick(time.time()))
                 next_tick = time.monotonic() + TICK_S
 
     def _step(self, event: Any) -> None:
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/metrics.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/metrics.py
@@ -15,6 +15,8 @@
     "wrong_answers": ("Backend answers with another request's id.", ()),
     "lost_messages": ("Messages to peers that could not be sent.", ()),
     "broken_messages": ("Messages from peers that were none.", ()),
+    "claims": ("Claims of idempotency keys by result.", ("result",)),
+    "lost_claim_records": ("Outcomes of claims that were given up.", ()),
     "callers_gone": ("Callers that left before their answer.", ()),
 }
 
--- a/packages/hemlockreel/hemlockreel/events.py
+++ b/packages/hemlockreel/hemlockreel/events.py
@@ -11,7 +11,13 @@
 
 
 class Tick(NamedTuple):
-    """Time has passed; sent every 100 ms or so."""
+    """Time has passed; sent every 100 ms or so.
+
+    ``unix_s`` is the wall clock in seconds, 0 when it is not known. It only
+    dates what is kept for hours.
+    """
+
+    unix_s: float = 0.0
 
 
 class GenerationAsked(NamedTuple):
--- a/packages/hemlockreel/hemlockreel/outcomes.py
+++ b/packages/hemlockreel/hemlockreel/outcomes.py
@@ -21,6 +21,8 @@
     KEY_REQUIRED = "idempotency_key_required"
     KEY_REUSED = "idempotency_key_reused"
     IN_PROGRESS = "in_progress"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    ANSWER_NOT_KEPT = "answer_not_kept"
     NOT_CONFIGURED = "not_configured"
     DRAINING = "draining"
     OVERLOADED = "overloaded"
--- /dev/null
+++ b/packages/hemlockreel/tests/claim_rig.py
@@ -0,0 +1,112 @@
+"""Several daemons' claims over one store, with calls in any order."""
+
+from hemlockreel import actions
+from hemlockreel import board
+from hemlockreel import claims
+from hemlockreel import events
+from hemlockreel import outcomes
+from hemlockreel_standins import helper
+from hemlockreel_standins import store
+from hemlockreel_standins import store_calls
+
+DOWN = {"error": "outage"}
+ANSWER = outcomes.Answered(201, (("Location", "/lots/7"),), b'{"lot": 7}')
+NOT_RUN = outcomes.not_run(outcomes.Reason.BACKEND_FAILED)
+UNKNOWN = outcomes.unknown(outcomes.Reason.BACKEND_SILENT)
+
+
+class Rig:
+    """``calls`` are under way; ``late`` ones were given up by their daemon.
+
+    ``journal`` holds the request ids that ran, by key, and ``told`` what the
+    workers were told, by request id.
+    """
+
+    def __init__(self, hosts=1):
+        self.store = store.Store()
+        self.now = 0.0
+        self.epoch = 0
+        self.boards = [self._board(index) for index in range(hosts)]
+        self.calls = []
+        self.late = []
+        self.told = {}
+        self.keys = {}
+        self.journal = {}
+
+    def _board(self, index):
+        self.epoch += 1
+        made = helper.make_board(f"127.0.0.1:{9000 + index}")
+        return board.Board(
+            made.identity._replace(epoch=self.epoch), (), made.rng
+        )
+
+    def step(self, index, event):
+        for action in claims.handle(event, self.boards[index], self.now):
+            if isinstance(action, actions.CallStore):
+                self.calls.append((index, self.boards[index], action))
+            elif isinstance(action, actions.Tell):
+                self.told.setdefault(action.request_id, []).append(
+                    action.value
+                )
+
+    def ask(self, request_id, index=0, key="k", fingerprint="f"):
+        self.keys[request_id] = (index, self.boards[index], key)
+        self.step(
+            index, events.ClaimAsked(request_id, 1, "o", key, fingerprint)
+        )
+
+    def answer(self, position=0, how="whole"):
+        """Lets one call under way reach the store, or not."""
+        index, made, action = self.calls.pop(position)
+        answered = events.StoreAnswered(action.call_id, 0, {})
+        if how == "whole":
+            answered = store_calls.perform(self.store, action)
+        elif how == "lost":
+            store_calls.perform(self.store, action)
+        elif how == "late":
+            self.late.append(action)
+        elif how == "down":
+            answered = events.StoreAnswered(action.call_id, 503, DOWN)
+        if made is self.boards[index]:
+            self.step(index, answered)
+
+    def arrive(self, position=0):
+        """Lets a call that was given up reach the store after all."""
+        store_calls.perform(self.store, self.late.pop(position))
+
+    def settle(self, how="whole", most=50):
+        while self.calls and most:
+            self.answer(0, how)
+            most -= 1
+
+    def pass_time(self, seconds, how="whole"):
+        end = self.now + seconds
+        while self.now < end:
+            self.now += 0.1
+            for index in range(len(self.boards)):
+                self.step(index, events.Tick(1e9 + self.now))
+            self.settle(how)
+
+    def crash(self, index):
+        self.boards[index] = self._board(index)
+
+    def may_send(self, request_id):
+        index, made, _ = self.keys[request_id]
+        told = self.told.get(request_id, [])
+        alive = made is self.boards[index]
+        return alive and [type(value) for value in told] == [claims.Claimed]
+
+    def run(self, request_id, outcome=ANSWER):
+        """Does what the worker of a claimed call does."""
+        index, _, key = self.keys[request_id]
+        if outcome is not NOT_RUN:
+            self.journal.setdefault(key, []).append(request_id)
+        self.told[request_id].append(outcome)
+        self.step(index, events.ClaimEnded(request_id, outcome))
+
+    def give_up(self, request_id):
+        """Does what a worker does that waited too long for its claim."""
+        self.told.setdefault(request_id, []).append(NOT_RUN)
+        self.step(
+            self.keys[request_id][0], events.ClaimEnded(request_id, NOT_RUN)
+        )
--- /dev/null
+++ b/packages/hemlockreel/tests/test_claims.py
@@ -0,0 +1,203 @@
+import pytest
+
+from hemlockreel import claim_buckets
+from hemlockreel import claim_entries
+from hemlockreel import claims
+from hemlockreel import events
+from hemlockreel import outcomes
+
+from . import claim_rig
+
+Reason = outcomes.Reason
+
+
+@pytest.fixture
+def rig():
+    made = claim_rig.Rig(hosts=2)
+    made.pass_time(0.1)
+    return made
+
+
+def last(rig, request_id):
+    return rig.told[request_id][-1]
+
+
+def ask(rig, request_id, index=0, **given):
+    rig.ask(request_id, index, **given)
+    rig.settle()
+    return last(rig, request_id)
+
+
+def test_claim_is_confirmed_before_it_is_told(rig):
+    rig.ask("r1")
+    while rig.calls:
+        assert "r1" not in rig.told
+        rig.answer()
+    assert last(rig, "r1") == claims.Claimed("r1", rig.now + 2.0)
+
+
+def test_repeat_gets_the_recorded_answer(rig):
+    ask(rig, "r1")
+    rig.run("r1")
+    rig.settle()
+    assert ask(rig, "r2", 1) == claim_rig.ANSWER
+
+
+def test_large_answer_is_not_kept(rig):
+    ask(rig, "r1")
+    body = b"x" * (claim_entries.MAX_ANSWER_BYTES + 1)
+    rig.run("r1", outcomes.Answered(200, (), body))
+    rig.settle()
+    found = ask(rig, "r2", 1)
+    assert (found.reason, found.ran) == (
+        Reason.ANSWER_NOT_KEPT,
+        outcomes.Ran.UNKNOWN,
+    )
+
+
+def test_key_of_another_call_is_refused(rig):
+    ask(rig, "r1")
+    found = ask(rig, "r2", 1, fingerprint="g")
+    assert (found.reason, found.ran) == (
+        Reason.KEY_REUSED,
+        outcomes.Ran.NOT_RUN,
+    )
+
+
+def test_keys_of_organisations_are_apart(rig):
+    names = {claim_buckets.name_of(*pair) for pair in ("ab", "ba", ("", "ab"))}
+    assert len(names) == 3
+
+
+@pytest.mark.parametrize("outcome", [None, claim_rig.UNKNOWN])
+def test_claim_without_outcome_is_never_run_again(rig, outcome):
+    ask(rig, "r1")
+    if outcome is None:
+        rig.crash(0)
+    else:
+        rig.run("r1", outcome)
+        rig.settle()
+    for attempt in range(3):
+        rig.pass_time(30)
+        found = ask(rig, f"again{attempt}", 1)
+        assert found.ran is outcomes.Ran.UNKNOWN
+    # Coming back is advised only while the first call may still end.
+    assert found.retry_after_s is None
+
+
+def test_call_that_did_not_run_may_be_repeated(rig):
+    ask(rig, "r1")
+    rig.run("r1", claim_rig.NOT_RUN)
+    rig.settle()
+    assert isinstance(ask(rig, "r2", 1), claims.Claimed)
+
+
+@pytest.mark.parametrize("how", ["lost", "late"])
+@pytest.mark.parametrize("call", [0, 1])
+def test_claim_survives_an_unanswered_call(rig, call, how):
+    rig.ask("r1")
+    for _ in range(call):
+        rig.answer()
+    rig.answer(0, how)
+    rig.pass_time(0.5)
+    assert isinstance(last(rig, "r1"), claims.Claimed)
+    if how == "late":
+        rig.arrive()
+    assert last(rig, "r1") == rig.told["r1"][0]
+    assert ask(rig, "r2", 1).reason is Reason.IN_PROGRESS
+
+
+@pytest.mark.parametrize("how", ["lost", "late"])
+def test_given_up_claim_becomes_free(rig, how):
+    rig.ask("r1")
+    rig.answer()
+    rig.answer(0, how)
+    rig.give_up("r1")
+    rig.pass_time(0.5)
+    if how == "late":
+        rig.arrive()
+    assert isinstance(ask(rig, "r2", 1), claims.Claimed)
+
+
+def test_claim_given_up_in_an_outage_becomes_free_after_it(rig):
+    rig.ask("r1")
+    rig.answer()
+    rig.answer(0, "lost")
+    rig.pass_time(0.2, "down")
+    found = last(rig, "r1")
+    assert (found.reason, found.ran) == (
+        Reason.STORE_UNAVAILABLE,
+        outcomes.Ran.NOT_RUN,
+    )
+    assert found.retry_after_s >= claims.RETRY_AFTER_S
+    rig.pass_time(30, "down")
+    assert claims.is_recording(rig.boards[0])
+    rig.pass_time(10)
+    assert not claims.is_recording(rig.boards[0])
+    assert isinstance(ask(rig, "r2", 1), claims.Claimed)
+
+
+def test_store_that_is_down_refuses_at_once(rig):
+    rig.ask("r1")
+    rig.answer(0, "down")
+    assert last(rig, "r1").ran is outcomes.Ran.NOT_RUN
+    assert not claims.is_recording(rig.boards[0])
+
+
+def test_silent_store_is_asked_by_one_call_at_a_time(rig):
+    for number in range(3):
+        rig.ask(f"r{number}", key=f"k{number}")
+    for _ in range(3):
+        rig.answer(0, "late")
+    rig.ask("probe", key="probe")
+    assert len(rig.calls) == 1
+    rig.ask("r4", key="k4")
+    assert last(rig, "r4").reason is Reason.STORE_UNAVAILABLE
+    rig.settle()
+    assert isinstance(ask(rig, "r5", key="k5"), claims.Claimed)
+
+
+def test_outcome_is_recorded_when_the_store_is_back(rig):
+    ask(rig, "r1")
+    rig.run("r1")
+    rig.pass_time(60, "down")
+    rig.pass_time(10)
+    assert ask(rig, "r2", 1) == claim_rig.ANSWER
+
+
+def test_confirmation_after_the_deadline_frees_the_claim(rig):
+    rig.ask("r1")
+    rig.answer()
+    rig.now += 10  # the process was stopped with its write under way
+    rig.step(0, events.Tick(1e9))
+    assert last(rig, "r1").ran is outcomes.Ran.NOT_RUN
+    rig.settle()
+    assert len(rig.told["r1"]) == 1
+    assert isinstance(ask(rig, "r2", 1), claims.Claimed)
+
+
+def test_claims_of_one_bucket_go_in_one_write(rig):
+    for board in rig.boards:
+        board.state(claim_buckets.State).settings = claim_buckets.Settings(
+            bits=0, commit_every_s=0.1
+        )
+    for number in range(50):
+        rig.ask(f"r{number}", key=f"k{number}")
+    rig.settle()
+    rig.pass_time(0.5)
+    assert all(rig.may_send(f"r{number}") for number in range(50))
+    assert rig.store.calls["PUT"] <= 2
+
+
+def test_old_claims_go_unless_only_one_clock_says_so(rig):
+    settings = claim_buckets.Settings(bits=0, retention_s=100.0)
+    for board in rig.boards:
+        board.state(claim_buckets.State).settings = settings
+    ask(rig, "old", key="old")
+    rig.step(1, events.Tick(1e9 + 1e6))  # the clock of one host is wrong
+    ask(rig, "new", 1, key="new")
+    assert ask(rig, "r2", key="old").reason is Reason.IN_PROGRESS
+    rig.pass_time(150)
+    ask(rig, "r3", key="newer")
+    ask(rig, "r4", key="newest")
+    assert isinstance(ask(rig, "r5", key="old"), claims.Claimed)
