--- a/packages/hemlockreel/hemlockreel/ledger.py
+++ b/packages/hemlockreel/hemlockreel/ledger.py
@@ -206,14 +206,16 @@
         elif place.first_at is None:
             choice.prefill.transfers -= 1
             if choice.ahead:
-                self._placement.overcommit.wasted()
+                self._placement.overcommit.wasted(place.ask.prompt_tokens)
         else:
             choice.decode.decoding -= place.pieces
             choice.decode.run(-1, now)
             held_s = now - place.granted_at
             idle_s = place.first_at - place.granted_at
             self.forecast.released(place.pieces, held_s)
-            self._placement.overcommit.served(idle_s, held_s)
+            self._placement.overcommit.served(
+                place.ask.prompt_tokens, idle_s, held_s
+            )
 
     # Sizes
 
--- a/packages/hemlockreel/hemlockreel/placement.py
+++ b/packages/hemlockreel/hemlockreel/placement.py
@@ -74,7 +74,7 @@
             queued = queue.ahead(entry.ask, math.inf)
             pressure = self.forecast.wait_s(view, queued, 0, 0)
             pressure /= max(entry.ask.deadline_s, 1e-3)
-            share = self.overcommit.share(pressure)
+            share = self.overcommit.share(pressure, entry.ask.prompt_tokens)
             decode = self._pick_ahead(entry, usable, share, lead_s)
         if decode is None:
             return None
@@ -120,7 +120,7 @@
         best_free = -math.inf
         for station in usable:
             expected = share * self.forecast.releases(station, wait_s)
-            free = station.free + round(expected)
+            free = station.free + int(expected)
             if free >= entry.pieces and free > best_free:
                 best, best_free = station, free
         return best
