--- a/packages/hemlockreel/hemlockreel/batching.py
+++ b/packages/hemlockreel/hemlockreel/batching.py
@@ -4,9 +4,8 @@
 run at once. The two coefficients are learned from requests that ended.
 """
 
-FORGET = 0.95  # weight of the older samples when a new one comes
+FORGET = 0.9  # weight of the older samples when a new one comes
 PRIOR_WEIGHT = 0.3
-PROBE_WEIGHT = 5.0  # weight of a sample from an engine that was set aside
 HEADROOM = 0.95  # share of the target that the mean gap may take
 MIN_SLOPE_S = 1e-5
 
@@ -27,13 +26,13 @@
             self._add(batch, share * target_s, PRIOR_WEIGHT)
         self._prior = list(self._samples)
 
-    def add(self, batch: float, gap_s: float, probe: bool = False) -> None:
+    def add(self, batch: float, gap_s: float) -> None:
         """Takes in a request's mean batch size and mean gap in seconds."""
         self._samples = [
             FORGET * old + (1 - FORGET) * prior
             for old, prior in zip(self._samples, self._prior, strict=True)
         ]
-        self._add(batch, gap_s, PROBE_WEIGHT if probe else 1.0)
+        self._add(batch, gap_s, 1.0)
 
     def cap(self) -> int:
         """Returns how many sequences fit; 0 when not even one does."""
--- a/packages/hemlockreel/hemlockreel/fleet.py
+++ b/packages/hemlockreel/hemlockreel/fleet.py
@@ -25,6 +25,11 @@
         self._retiring: frozenset[str] = frozenset()
         self._freshest = -math.inf
 
+    @property
+    def changing(self) -> bool:
+        """Whether a listed replica is on its way to another role."""
+        return any(address in self.replicas for address in self._retiring)
+
     def set_pool(self, pool: objects.ModelPool) -> None:
         """Takes over a changed configuration of the pool."""
         self.pool = pool
--- a/packages/hemlockreel/hemlockreel/forecast.py
+++ b/packages/hemlockreel/hemlockreel/forecast.py
@@ -73,12 +73,12 @@
             default=stations.PREFILL_BASE_S,
         )
 
-    def after_prefill_s(self, view: View) -> float:
+    def after_prefill_s(self, view: View, ask: messages.Ask) -> float:
         """Returns the time from the end of a prefill to the first token."""
-        if not view.prefills:
-            return stations.TRANSFER_S
-        total = sum(x.transfer_s.value for x in view.prefills)
-        return total / len(view.prefills)
+        return min(
+            (x.transfer_s(ask.prompt_tokens) for x in view.prefills),
+            default=stations.FIRST_STEP_S,
+        )
 
     def cost_s(self, view: View, pieces: int, prefill_s: float) -> float:
         """Returns for how long an ask takes up the whole shard."""
@@ -96,6 +96,8 @@
         held = sum(x.granted for x in view.decodes)
         lacking = ahead.pieces + pieces - free
         memory_s = _time_for(lacking, held, self.piece_hold_s.value)
+        if pieces > 1:
+            memory_s = max(memory_s, self._soonest_s(view, pieces))
         slots = sum(max(0, x.room(view.now)) for x in view.decodes)
         running = sum(x.count for x in view.decodes)
         lacking = ahead.asks + asks - slots
@@ -104,6 +106,17 @@
         line_s = (line_s + ahead.prefill_s) / max(len(view.prefills), 1)
         return max(memory_s, slot_s, line_s)
 
+    def _soonest_s(self, view: View, pieces: int) -> float:
+        """Returns the time until one replica has all of ``pieces`` free."""
+        hold_s = self.piece_hold_s.value
+        return min(
+            (
+                _time_for(pieces - x.free, x.granted, hold_s)
+                for x in view.decodes
+            ),
+            default=NO_RATE_WAIT_S,
+        )
+
     def releases(self, station: stations.Decode, wait_s: float) -> float:
         """Returns the pieces that a replica should free within a time."""
         return station.decoding * wait_s / max(self.piece_hold_s.value, 1e-3)
--- a/packages/hemlockreel/hemlockreel/ledger.py
+++ b/packages/hemlockreel/hemlockreel/ledger.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator
 import math
 
+from . import balance
 from . import decisions
 from . import fleet
 from . import forecast
@@ -159,7 +160,7 @@
         if ran_s is not None:
             station.learn(place.ask.prompt_tokens - cached_tokens, ran_s)
         station.hints.add(prefixes)
-        station.transfers += 1
+        station.start_transfer(grant_id, place.ask.prompt_tokens)
         station.worked()
 
     def first_token(self, grant_id: int, now: float) -> None:
@@ -170,9 +171,9 @@
         self.prefilled(grant_id, now)
         place.first_at = now
         choice = self._choices[grant_id]
-        choice.prefill.transfers -= 1
-        if not choice.ahead:
-            choice.prefill.transfer_s.add(now - place.prefilled_at)
+        # With memory granted ahead, the wait for it is a part of the time.
+        took_s = None if choice.ahead else now - place.prefilled_at
+        choice.prefill.end_transfer(grant_id, place.ask.prompt_tokens, took_s)
         choice.decode.decoding += place.pieces
         choice.decode.worked()
         place.batch_s = choice.decode.run(1, now)
@@ -204,7 +205,9 @@
         if place.prefilling:
             choice.prefill.leave(grant_id, now)
         elif place.first_at is None:
-            choice.prefill.transfers -= 1
+            choice.prefill.end_transfer(
+                grant_id, place.ask.prompt_tokens, None
+            )
             if choice.ahead:
                 self._placement.overcommit.wasted(place.ask.prompt_tokens)
         else:
@@ -228,6 +231,19 @@
         """Returns the pieces that are not granted at ``address``."""
         return self.fleet.decodes[address].free
 
+    def shape(self, now: float) -> balance.Shape:
+        """Returns what the balance of roles depends on."""
+        demand = self.forecast.demand(now)
+        prefills = self.fleet.usable_prefills((), now)
+        decodes = self.fleet.usable_decodes((), now)
+        return balance.Shape(
+            {x.address: len(x.line) for x in prefills},
+            {x.address: x.granted for x in decodes},
+            demand.prefill,
+            demand.decode,
+            self.fleet.changing,
+        )
+
     # Admission
 
     def _queue_of(self, ask: messages.Ask) -> queueing.FairQueue:
@@ -243,7 +259,7 @@
         deadline = math.inf
         if ask.deadline_s:
             deadline = view.now + ask.deadline_s
-        service_s = prefill_s + self.forecast.after_prefill_s(view)
+        service_s = prefill_s + self.forecast.after_prefill_s(view, ask)
         if service_s > ask.deadline_s - self.pool.margin_ms / 1000:
             # No replica could be in time, so only the wait counts.
             service_s = ask.deadline_s * (1 - HOPELESS_WAIT)
@@ -296,11 +312,16 @@
     def _serve_one(
         self, queue: queueing.FairQueue, now: float
     ) -> decisions.Granted | None:
+        claimed: set[str] = set()
         for entry in queue.heads(BYPASS):
-            choice = self._placement.find(entry, queue, now)
+            choice = self._placement.find(entry, queue, claimed, now)
             if choice is not None:
                 queue.take(entry)
                 return self._grant(entry, choice, now)
+            claim = self._placement.claim(entry, claimed, now)
+            if claim is None:
+                return None
+            claimed.add(claim)
         return None
 
     def _grant(
--- a/packages/hemlockreel/hemlockreel/overcommit.py
+++ b/packages/hemlockreel/hemlockreel/overcommit.py
@@ -44,9 +44,7 @@
         share = min(MAX_SHARE, max(0.0, gain))
         return share * (1.0 - min(1.0, pressure))
 
-    def served(
-        self, prompt_tokens: int, idle_s: float, held_s: float
-    ) -> None:
+    def served(self, prompt_tokens: int, idle_s: float, held_s: float) -> None:
         """Notes a request that found its memory in time."""
         earned = self._credit + WASTE_BUDGET * prompt_tokens
         self._credit = min(MAX_CREDIT_TOKENS, earned)
--- a/packages/hemlockreel/hemlockreel/placement.py
+++ b/packages/hemlockreel/hemlockreel/placement.py
@@ -1,5 +1,6 @@
 """Which replicas an ask is placed at, if there is room for it now."""
 
+from collections.abc import Set
 import math
 from typing import NamedTuple
 
@@ -51,18 +52,24 @@
         self,
         entry: queueing.Entry,
         queue: queueing.FairQueue,
+        claimed: Set[str],
         now: float,
     ) -> Choice | None:
         """Returns the replicas for ``entry``, ``None`` while there are none.
 
-        ``queue`` is the one that ``entry`` waits in.
+        ``queue`` is the one that ``entry`` waits in. The decode replicas in
+        ``claimed`` are kept for asks that go before it.
         """
         view = self.view(entry.ask, now)
         prefill = self._pick_prefill(entry, view)
         if prefill is None:
             return None
         work_s = prefill.work_s(entry.ask.prompt_tokens, entry.ask.prefixes)
-        usable = [x for x in view.decodes if x.room(now) > 0]
+        usable = [
+            station
+            for station in view.decodes
+            if station.room(now) > 0 and station.address not in claimed
+        ]
         ahead = False
         if entry.ask.klass == DEFERRABLE:
             decode = self._pick_deferrable(entry, usable, now)
@@ -80,10 +87,26 @@
             return None
         return Choice(prefill, decode, ahead, work_s)
 
+    def claim(
+        self, entry: queueing.Entry, claimed: Set[str], now: float
+    ) -> str | None:
+        """Returns the decode replica to keep for an ask that must wait.
+
+        Memory that comes free there is not taken by smaller asks behind it,
+        which would otherwise keep a large ask waiting for good.
+        """
+        open_to = [
+            station
+            for station in self.fleet.usable_decodes(entry.ask.exclude, now)
+            if station.address not in claimed and not station.slow
+        ]
+        best = max(open_to, key=lambda x: x.free, default=None)
+        return None if best is None else best.address
+
     def _pick_prefill(
         self, entry: queueing.Entry, view: forecasts.View
     ) -> stations.Prefill | None:
-        """Returns the replica that should end the prefill first.
+        """Returns the replica by way of which the first token comes first.
 
         A cached prefix shortens the prefill and a line delays it, so a
         prefix that many share does not overload one replica.
@@ -92,7 +115,7 @@
             station
             for station in view.prefills
             if len(station.line) < LINE_LIMIT
-            and station.transfers < TRANSFER_LIMIT
+            and len(station.transfers) < TRANSFER_LIMIT
         ]
         ask = entry.ask
         if ask.klass == DEFERRABLE:
@@ -156,6 +179,15 @@
     return station.count / max(station.cap, 1)
 
 
+def _ready_in(
+    station: stations.Prefill, ask: messages.Ask, now: float
+) -> float:
+    """Returns the time until the first token by way of a replica."""
+    lead_s = station.free_in(now)
+    lead_s += station.work_s(ask.prompt_tokens, ask.prefixes)
+    return lead_s + station.transfer_s(ask.prompt_tokens, lead_s)
+
+
 def _leave_prefills(
     usable: list[stations.Prefill], view: forecasts.View
 ) -> list[stations.Prefill]:
--- a/packages/hemlockreel/hemlockreel/stations.py
+++ b/packages/hemlockreel/hemlockreel/stations.py
@@ -10,12 +10,14 @@
 DEFAULT_PIECES = 20  # pieces of an engine that has not reported yet
 REPORT_WINDOW_S = 2.0  # a load report is never older than this
 STALE_S = 3.0  # an engine whose report is this much older gets nothing new
-PROBE_S = 5.0  # time between tries of an engine that was set aside
+PROBE_S = 2.0  # time between tries of an engine that was set aside
+PROBES = 2  # tries of such an engine at once
 BACKOFF_S = 0.5  # time without grants after a failure, doubled each time
 MAX_BACKOFF_S = 8.0
 PREFILL_BASE_S = 0.02
 S_PER_TOKEN = 1 / 8000  # prefill speed before the first sample
-TRANSFER_S = 0.1
+FIRST_STEP_S = 0.05  # import and first step, without the transfer itself
+TRANSFER_S_PER_TOKEN = 20e-6  # before the first sample
 FULL_SAMPLE_TOKENS = 1000
 
 
@@ -63,8 +65,9 @@
         super().__init__(address)
         self.hints = affinity.PrefixHints()
         self.s_per_token = prediction.Average(S_PER_TOKEN, 0.1)
-        self.transfer_s = prediction.Average(TRANSFER_S, 0.1)
-        self.transfers = 0
+        self.transfers: dict[int, int] = {}
+        self._transfer_tokens = 0
+        self._transfer_s = prediction.Average(TRANSFER_S_PER_TOKEN, 0.1)
         self.line: dict[int, float] = {}
         self._deferrable: set[int] = set()
         self._work_s = 0.0
@@ -73,7 +76,7 @@
     @property
     def busy(self) -> bool:
         """Whether prefills or transfers of grants run here."""
-        return bool(self.line) or self.transfers > 0
+        return bool(self.line or self.transfers)
 
     def cached_tokens(self, prefixes: Sequence[int]) -> int:
         """Returns how much of a prompt is believed to be cached here."""
@@ -122,6 +125,32 @@
         self._started_at = now
         return ran_s
 
+    def transfer_s(self, tokens: int, lead_s: float = 0.0) -> float:
+        """Returns the time from the end of a prefill to the first token.
+
+        The transfers under way go first, as far as they are not over when
+        the prefill ends in ``lead_s`` seconds.
+        """
+        queued_s = self._transfer_tokens * self._transfer_s.value
+        own_s = tokens * self._transfer_s.value
+        return FIRST_STEP_S + max(0.0, queued_s - lead_s) + own_s
+
+    def start_transfer(self, grant_id: int, tokens: int) -> None:
+        """Notes that the KV cache of a prefill is to leave."""
+        self._transfer_tokens += tokens
+        self.transfers[grant_id] = self._transfer_tokens
+
+    def end_transfer(
+        self, grant_id: int, tokens: int, took_s: float | None
+    ) -> None:
+        """Notes that a transfer is over; ``took_s`` if it tells the rate."""
+        moved = self.transfers.pop(grant_id)
+        self._transfer_tokens -= tokens
+        if took_s is not None:
+            sample = max(0.0, took_s - FIRST_STEP_S) / max(moved, 1)
+            weight = min(1.0, moved / FULL_SAMPLE_TOKENS)
+            self._transfer_s.add(sample, weight)
+
     def learn(self, computed_tokens: int, ran_s: float) -> None:
         """Takes in how long a prefill ran."""
         sample = max(0.0, ran_s - PREFILL_BASE_S) / max(computed_tokens, 1)
@@ -173,7 +202,7 @@
     def room(self, now: float) -> int:
         """Returns how many more sequences may be granted."""
         if self.slow:
-            return int(self.count == 0 and now >= self._probe_at)
+            return int(self.count < PROBES and now >= self._probe_at)
         return self.cap - self.count
 
     def grant(self, pieces: int, deferrable: bool, now: float) -> None:
@@ -215,5 +244,10 @@
 
     def learn(self, batch: float, gap_s: float) -> None:
         """Takes in the mean batch size and the mean gap of a request."""
-        self.batch.add(batch, gap_s, probe=self.slow)
+        if self.slow and gap_s < self.batch.target_s / 2:
+            # What was learned while it was slow no longer holds.
+            self.batch = batching.BatchModel(
+                self.batch.target_s, self.batch.limit
+            )
+        self.batch.add(batch, gap_s)
         self.cap = self.batch.cap()
--- a/standins/hemlockreel_standins/bench.py
+++ b/standins/hemlockreel_standins/bench.py
@@ -127,6 +127,12 @@
             address, self.engines[address].load(self.now), self.now
         )
 
+    def limit_links(self, share: float) -> None:
+        """Gives the links of all engines a share of their rate."""
+        rate = self.profile.engine.link_bytes_per_s * share
+        for engine in self.engines.values():
+            engine.settings = engine.settings._replace(link_bytes_per_s=rate)
+
     def idle(self, address: str) -> bool:
         """Returns whether no request holds anything at an engine."""
         return not self.engines[address].requests()
@@ -194,6 +200,7 @@
         self._jobs[name] = job
         if self.tally.counted(call.at):
             self.tally.counts["tries"] += 1
+            self.tally.counts["returned"] += tries == 1
             self.tally.counts["calls"] += tries == 0
             self.tally.counts["deferrable"] += (
                 call.klass == "deferrable" and tries == 0
@@ -256,6 +263,7 @@
         if counts:
             self.tally.refusals[denied.reason.value] += 1
             self.tally.counts["refused"] += job.tries == 0
+            self.tally.counts["returned refused"] += job.tries == 1
             if call.klass == "deferrable":
                 self.tally.counts["deferrable refused"] += 1
         if call.follows and denied.retry_after_s:
--- a/standins/hemlockreel_standins/measure.py
+++ b/standins/hemlockreel_standins/measure.py
@@ -17,6 +17,7 @@
 
 from . import baseline
 from . import bench
+from . import scenarios
 from . import tally as tallies
 from . import workload
 
@@ -52,10 +53,27 @@
     setup: Setup,
     load: float,
     seed: int,
-    prepare: Callable[[bench.Bench], None] | None = None,
+    prepare: scenarios.Prepare | None = None,
     extra: Iterable[workload.Call] = (),
 ) -> tallies.Figures:
     """Runs one policy under a steady load and returns what it counted."""
+    end = WARM_UP_S + RUN_S
+    rng = random.Random(seed)
+    source = workload.Source(profile, seed)
+    rate = load * workload.capacity(profile)
+    times = workload.arrivals(rate, 0.0, end, rng)
+    calls = [source.draw(at) for at in times]
+    return play_calls(profile, setup, [*calls, *extra], seed, prepare)
+
+
+def play_calls(
+    profile: workload.Profile,
+    setup: Setup,
+    calls: Iterable[workload.Call],
+    seed: int,
+    prepare: scenarios.Prepare | None = None,
+) -> tallies.Figures:
+    """Runs one policy under given calls and returns what it counted."""
     targets = tallies.Targets(
         profile.pool.first_token_ms / 1000,
         profile.pool.between_tokens_ms / 1000,
@@ -65,12 +83,7 @@
     made = bench.Bench(profile, setup.make(profile), tally, seed)
     if prepare is not None:
         prepare(made)
-    rng = random.Random(seed)
-    source = workload.Source(profile, seed)
-    rate = load * workload.capacity(profile)
-    times = workload.arrivals(rate, 0.0, end, rng)
-    calls = [source.draw(at) for at in times]
-    made.run([*calls, *extra], end + DRAIN_S)
+    made.run(calls, end + DRAIN_S)
     return tally.figures()
 
 
