--- a/standins/hemlockreel_standins/processes.py
+++ b/standins/hemlockreel_standins/processes.py
@@ -17,6 +17,7 @@
 STOP_TIMEOUT_S = 20.0
 POLL_S = 0.05
 
+HTTP_FAILURES = (urllib3.exceptions.HTTPError, OSError, ValueError)
 HTTP = urllib3.PoolManager(retries=False, timeout=10.0)
 
 
@@ -242,7 +243,7 @@
     """Returns the status of a GET, 0 when there was no answer."""
     try:
         return HTTP.request("GET", f"http://{address}{path}").status
-    except urllib3.exceptions.HTTPError:
+    except HTTP_FAILURES:
         return 0
 
 
@@ -255,3 +256,13 @@
         headers={"Content-Type": "application/json"},
     )
     return answer.json()
+
+
+def stop_all(running: list[Process], timeout_s: float) -> list[int]:
+    """Sends SIGTERM to all at once; returns the exit codes.
+
+    Raises ``subprocess.TimeoutExpired`` when one does not end in time.
+    """
+    for process in running:
+        process.signal(signal.SIGTERM)
+    return [process.wait(timeout_s) for process in running]
