--- /dev/null
+++ b/standins/hemlockreel_standins/probe.py
@@ -0,0 +1,145 @@
+"""Runs a daemon that also counts what it sends and receives.
+
+The counts are shown as ``hemlockreel_probe_bytes`` and
+``hemlockreel_probe_messages`` among the daemon's metrics. Bytes of HTTP are
+the kernel's counts of the connection (headers included, TCP/IP headers not),
+bytes between daemons are those of the encoded messages.
+"""
+
+import collections
+import socket
+import struct
+import sys
+import threading
+import weakref
+
+from prometheus_client import metrics_core
+from urllib3 import connection
+
+from hemlockreel import messages
+from hemlockreel_daemon import main as daemon_main
+from hemlockreel_daemon import metrics
+
+TCP_INFO_BYTES = 256
+BYTES_OFFSET = 120  # of tcpi_bytes_acked and tcpi_bytes_received
+LINKS = {
+    "/v1/objects": "store",
+    "/v1/watch": "store",
+    "/v1/hosts": "host_list",
+    "/v1/load": "engine_control",
+    "/v1/requests": "engine_control",
+    "/v1/cache": "engine_control",
+    "/v1/cancel": "engine_control",
+    "/v1/orders": "engine_control",
+}
+
+_lock = threading.Lock()
+_bytes: collections.Counter = collections.Counter()
+_messages: collections.Counter = collections.Counter()
+_live: weakref.WeakSet = weakref.WeakSet()
+_http_connection = connection.HTTPConnection
+_encode = messages.encode
+_decode = messages.decode
+
+
+class CountingConnection(_http_connection):
+    """A connection that tells how many bytes went over it."""
+
+    link = "data"
+
+    def request(self, method, url, *args, **kwargs):
+        """Notes what the connection is used for, then sends."""
+        for prefix, link in LINKS.items():
+            if url.startswith(prefix):
+                self.link = link
+        with _lock:
+            _live.add(self)
+            _messages[(self.link, "sent", method)] += 1
+        return super().request(method, url, *args, **kwargs)
+
+    def close(self):
+        """Adds the bytes of the connection to the counts."""
+        with _lock:
+            if self in _live:
+                _live.discard(self)
+                _bytes.update(self.transferred())
+        super().close()
+
+    def transferred(self) -> dict[tuple[str, str], int]:
+        """Returns the bytes sent and received until now."""
+        if self.sock is None:
+            return {}
+        try:
+            info = self.sock.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES
+            )
+        except OSError:
+            return {}
+        sent, received = struct.unpack_from("=QQ", info, BYTES_OFFSET)
+        return {(self.link, "sent"): sent, (self.link, "received"): received}
+
+
+def _counted_encode(message: messages.Message) -> bytes:
+    data = _encode(message)
+    _count_message(message, "sent", data)
+    return data
+
+
+def _counted_decode(data: bytes) -> messages.Message | None:
+    message = _decode(data)
+    if message is not None:
+        _count_message(message, "received", data)
+    return message
+
+
+def _count_message(
+    message: messages.Message, direction: str, data: bytes
+) -> None:
+    with _lock:
+        _bytes[("peers", direction)] += len(data)
+        _messages[("peers", direction, type(message).__name__)] += 1
+
+
+class _Collector:
+    """Shows the counts among the daemon's metrics."""
+
+    def collect(self):
+        """Yields the two families of counts."""
+        with _lock:
+            sizes = _bytes.copy()
+            for each in _live:
+                sizes.update(each.transferred())
+            numbers = dict(_messages)
+        family = metrics_core.GaugeMetricFamily(
+            "hemlockreel_probe_bytes", "Bytes.", labels=("link", "direction")
+        )
+        for labels, value in sizes.items():
+            family.add_metric(labels, value)
+        yield family
+        family = metrics_core.GaugeMetricFamily(
+            "hemlockreel_probe_messages",
+            "Messages and calls.",
+            labels=("link", "direction", "type"),
+        )
+        for labels, value in numbers.items():
+            family.add_metric(labels, value)
+        yield family
+
+
+class _Metrics(metrics.Metrics):
+    def __init__(self):
+        super().__init__()
+        self.registry.register(_Collector())
+
+
+def main() -> int:
+    """Runs the daemon with the counts in place."""
+    connection.HTTPConnection = CountingConnection
+    messages.encode = _counted_encode
+    messages.decode = _counted_decode
+    metrics.Metrics = _Metrics
+    return daemon_main.main()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/standins/hemlockreel_standins/processes.py
+++ b/standins/hemlockreel_standins/processes.py
@@ -66,7 +66,12 @@
 
 
 class Deployment:
-    """The stand-ins and daemons of one deployment, as processes."""
+    """The stand-ins and daemons of one deployment, as processes.
+
+    ``daemon_module`` is the module that runs as a daemon.
+    """
+
+    daemon_module = "hemlockreel_daemon"
 
     def __init__(self, region: str):
         self.region = region
@@ -139,7 +144,9 @@
         name = f"daemon-{len(self.daemons)}"
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(value))
-        daemon = DaemonProcess(name, path, value, self.folder)
+        daemon = DaemonProcess(
+            name, path, value, self.folder, self.daemon_module
+        )
         self.processes.append(daemon)
         self.daemons.append(daemon)
         self.hosts.append(
@@ -180,6 +187,7 @@
         path: pathlib.Path,
         value: dict[str, Any],
         folder: pathlib.Path,
+        module: str = "hemlockreel_daemon",
     ):
         self.settings = value
         self.callers = value["listen"]["callers"]
@@ -187,7 +195,7 @@
         self.peers = value["listen"]["peers"]
         super().__init__(
             name,
-            ["hemlockreel_daemon", "--config", str(path)],
+            [module, "--config", str(path)],
             folder / f"{name}.log",
         )
 
