Give no port out twice and let the demo run on for a while

With 48 daemons the slopes stopped: 144 ports drawn at random from 12,000 met each other, since a daemon binds its port some time after it was found free, and the daemon that came second ended.

`make demo ARGS='--hold 300'` keeps both deployments for a person with a shell.

--- a/standins/hemlockreel_standins/demo.py
+++ b/standins/hemlockreel_standins/demo.py
@@ -75,6 +75,18 @@
         self._book(caller)
         self._measure(sent, elapsed_s)
 
+    def hold(self, seconds: float) -> None:
+        """Keeps all running for a while, for a person with a shell."""
+        if seconds <= 0:
+            return
+        daemon = self._made.daemons[0]
+        self._say(f"runs for {seconds:g} s more; in a shell:")
+        self._say(
+            f"  export HEMLOCKREEL_STORE={self._made.store.address} "
+            f"ENTRY={daemon.callers} OPERATORS={daemon.operators}"
+        )
+        time.sleep(seconds)
+
     def stop(self) -> None:
         """Stops the daemons while a stream is open, then the stand-ins."""
         with futures.ThreadPoolExecutor(1) as pool:
@@ -257,10 +269,11 @@
     return labels
 
 
-def _run(demo: Demo) -> None:
+def _run(demo: Demo, hold_s: float) -> None:
     try:
         demo.start()
         demo.use()
+        demo.hold(hold_s)
         demo.stop()
     except Exception as error:
         demo.faults.append(f"{type(error).__name__}: {error}")
@@ -272,11 +285,19 @@
     """Runs the demo; returns 0 when all that it checks holds."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--hosts", type=int, default=3, help="entry hosts")
+    parser.add_argument(
+        "--hold",
+        type=float,
+        default=0.0,
+        metavar="SECONDS",
+        help="keep all running before it is stopped",
+    )
     options = parser.parse_args()
     started = time.monotonic()
     demos = [Demo(plan, options.hosts) for plan in deployments.PLANS]
     with futures.ThreadPoolExecutor(len(demos)) as pool:
-        list(pool.map(_run, demos))
+        for demo in demos:
+            pool.submit(_run, demo, options.hold)
     print(f"took {time.monotonic() - started:.1f} s")
     faults = {demo.plan.name: demo.faults for demo in demos if demo.faults}
     if faults:
--- a/standins/hemlockreel_standins/processes.py
+++ b/standins/hemlockreel_standins/processes.py
@@ -201,14 +201,21 @@
         )
 
     def await_ready(self, timeout_s: float = READY_TIMEOUT_S) -> None:
-        """Waits until callers may use this daemon."""
+        """Waits until callers may use this daemon.
+
+        Raises ``RuntimeError`` with the daemon's log when it has ended.
+        """
         await_that(
             lambda: (
-                self.running and get_status(self.operators, "/readyz") == 200
+                not self.running
+                or get_status(self.operators, "/readyz") == 200
             ),
             timeout_s,
-            f"{self.name} is not ready:\n{self.log.read_text()}",
+            f"{self.name} is not ready",
         )
+        if not self.running:
+            text = self.log.read_text()
+            raise RuntimeError(f"{self.name} has ended:\n{text}")
 
     def status(self) -> dict[str, Any]:
         """Returns what the daemon says of itself."""
@@ -224,15 +231,22 @@
         time.sleep(POLL_S)
 
 
+_ports: set[int] = set()  # returned by free_port before
+
+
 def free_port() -> int:
     """Returns a port that nothing listens on now.
 
     It lies below the range of the ports that connections get, so that no
-    connection of another process takes it in the meantime.
+    connection of another process takes it in the meantime. No port is
+    returned twice, since a daemon binds its port some time after this.
     """
     low = 20000
     for _ in range(200):
         port = low + int.from_bytes(os.urandom(2), "big") % 12000
+        if port in _ports:
+            continue
+        _ports.add(port)
         with socket.socket() as found:
             try:
                 found.bind(("127.0.0.1", port))
