--- a/standins/hemlockreel_standins/slopes.py
+++ b/standins/hemlockreel_standins/slopes.py
@@ -10,6 +10,7 @@
 from concurrent import futures
 import contextlib
 import json
+import signal
 import statistics
 import subprocess
 import sys
@@ -319,6 +320,8 @@
     names = ("footprint", *(part.name for part in PARTS))
     parser.add_argument("--only", action="append", choices=names)
     options = parser.parse_args()
+    # An exception, unlike the signal itself, lets the deployments close.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     wanted = options.only or names
     if "footprint" in wanted:
         _show_footprint()
