--- a/packages/hemlockreel-daemon/hemlockreel_daemon/http_calls.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/http_calls.py
@@ -73,7 +73,7 @@
     sock = link.sock
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.settimeout(timeout_s)
+        link.timeout = timeout_s  # The library sets it at each step.
         with interrupting(box, sock):
             link.request(
                 method,
--- a/standins/hemlockreel_standins/caller.py
+++ b/standins/hemlockreel_standins/caller.py
@@ -1,140 +1,182 @@
-"""A caller of the system, who can tell a whole answer from a cut one."""
+"""A caller of hemlockreel: asks for addresses, connects there itself."""
 
+from collections.abc import Iterator
 import json
-import socket
+import time
 from typing import Any
 from typing import NamedTuple
 
 import urllib3
 
-from . import engine
+TIMEOUT_S = 60.0
+DATA = b"data: "
+END = b"[DONE]"
 
-TIMEOUT_S = 30.0
-HTTP = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
 
+class Answer(NamedTuple):
+    """What a caller got; times in seconds from the start of the request.
 
-class Heard(NamedTuple):
-    """What came of a streamed completion.
-
-    ``done`` tells whether the stream ended with its end mark, ``clean``
-    whether the body ended as HTTP says, ``error`` is the refusal that came.
+    ``error`` is the body of a refusal. ``whole`` is true only when the end of
+    the answer was seen.
     """
 
     status: int
     request_id: str
+    hops: dict[str, str]
     text: str
-    done: bool
-    clean: bool
-    error: dict[str, Any] | None = None
-
-    def whole(self, tokens: int) -> bool:
-        """Tells whether this is the whole answer to its own request."""
-        wanted = engine.answer(self.request_id, tokens)
-        return self.done and self.clean and self.text == wanted
-
-
-class Stream:
-    """A streamed completion that is being read."""
-
-    def __init__(self, address: str, asked: dict[str, Any]):
-        self._response = HTTP.request(
-            "POST",
-            f"http://{address}/v1/completions",
-            body=json.dumps({**asked, "stream": True}).encode(),
-            headers={"Content-Type": "application/json"},
+    error: dict[str, Any]
+    whole: bool
+    token_times: tuple[float, ...]
+    duration_s: float
+
+    @property
+    def first_token_s(self) -> float:
+        """The time to the first token, infinite when there was none."""
+        return self.token_times[0] if self.token_times else float("inf")
+
+    @property
+    def widest_gap_s(self) -> float:
+        """The longest time between two tokens."""
+        pairs = zip(self.token_times, self.token_times[1:], strict=False)
+        return max((after - before for before, after in pairs), default=0.0)
+
+
+class Caller:
+    """One caller of one deployment, ``delay_s`` (one way) away from it."""
+
+    def __init__(self, organisation: str, known: str, delay_s: float = 0.0):
+        self._organisation = organisation
+        self._known = known
+        self._delay_s = delay_s
+        self._pool = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
+        self._addresses: list[str] = []
+        self._fresh_until = 0.0
+
+    def addresses(self) -> list[str]:
+        """Returns the addresses to use, kept for their time to live."""
+        if time.monotonic() >= self._fresh_until:
+            caller = self._organisation
+            url = f"http://{self._known}/v1/addresses?caller={caller}"
+            found = self._pool.request("GET", url).json()
+            self._addresses = found["addresses"]
+            self._fresh_until = time.monotonic() + found["ttl_s"]
+        return self._addresses
+
+    def complete(
+        self, body: dict[str, Any], address: str | None = None
+    ) -> Answer:
+        """Asks for a completion, streamed if ``body`` says so."""
+        started = time.monotonic()
+        response = self._post(address, "/v1/completions", body, {})
+        if response.status != 200 or not body.get("stream"):
+            return _plain(response, started)
+        return _read_stream(response, started)
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None = None,
+        key: str = "",
+    ) -> Answer:
+        """Makes a plain call, with an idempotency key if there is one."""
+        started = time.monotonic()
+        headers = {"Idempotency-Key": key} if key else {}
+        response = self._post(None, path, body, headers, method)
+        return _plain(response, started)
+
+    def _post(
+        self,
+        address: str | None,
+        path: str,
+        body: dict[str, Any] | None,
+        headers: dict[str, str],
+        method: str = "POST",
+    ) -> urllib3.BaseHTTPResponse:
+        time.sleep(2 * self._delay_s)
+        address = address or self.addresses()[0]
+        return self._pool.request(
+            method,
+            f"http://{address}{path}",
+            body=None if body is None else json.dumps(body).encode(),
+            headers={
+                "Content-Type": "application/json",
+                "X-Organisation": self._organisation,
+                **headers,
+            },
             preload_content=False,
         )
-        self.status = self._response.status
-        self.request_id = self._response.headers.get("X-Request-Id", "")
-        self._chunks = self._response.stream(None, decode_content=False)
-        self._text: list[str] = []
-        self._done = False
-        self._error: dict[str, Any] | None = None
-
-    def read_tokens(self, count: int) -> None:
-        """Reads until ``count`` pieces of text have come."""
-        while len(self._text) < count:
-            self._take(next(self._chunks))
-
-    def read_all(self) -> Heard:
-        """Reads to the end of the body."""
-        clean = True
-        try:
-            for chunk in self._chunks:
-                self._take(chunk)
-        except (urllib3.exceptions.HTTPError, OSError):
-            clean = False
-        finally:
-            self.close()
-        return Heard(
-            self.status,
-            self.request_id,
-            "".join(self._text),
-            self._done,
-            clean,
-            self._error,
-        )
-
-    def close(self) -> None:
-        """Closes the connection, whatever is still to come."""
-        self._response.close()
-
-    def _take(self, chunk: bytes) -> None:
-        """Takes over the events of one chunk, which are always whole."""
-        if self.status != 200:
-            self._error = json.loads(chunk)["error"]
-            return
-        for event in chunk.decode().split("\n\n"):
-            data = event.removeprefix("data: ")
-            if data == "[DONE]":
-                self._done = True
-            elif data:
-                self._take_value(json.loads(data))
-
-    def _take_value(self, value: dict[str, Any]) -> None:
-        if "error" in value:
-            self._error = value["error"]
-        for choice in value.get("choices", ()):
-            if choice["text"]:
-                self._text.append(choice["text"])
 
 
-def complete(address: str, asked: dict[str, Any]) -> tuple[int, Any]:
-    """Asks for a completion at once; returns the status and the answer."""
-    answer = HTTP.request(
-        "POST",
-        f"http://{address}/v1/completions",
-        body=json.dumps(asked).encode(),
-        headers={"Content-Type": "application/json"},
+def _plain(response: urllib3.BaseHTTPResponse, started: float) -> Answer:
+    """Reads an answer that is not streamed."""
+    data = response.read()
+    response.release_conn()
+    body = json.loads(data) if data else {}
+    if not isinstance(body, dict):
+        body = {"body": body}
+    error = body.get("error", {}) if response.status >= 400 else {}
+    choices = body.get("choices") or [{}]
+    hops = body.get("hops") or {
+        name.removeprefix("X-Hop-").lower(): value
+        for name, value in response.headers.items()
+        if name.startswith("X-Hop-")
+    }
+    return Answer(
+        response.status,
+        response.headers.get("X-Request-Id", ""),
+        hops,
+        choices[0].get("text", data.decode(errors="replace")),
+        error,
+        response.status < 400,
+        (),
+        time.monotonic() - started,
     )
-    return answer.status, answer.json()
 
 
-def send(address: str, asked: dict[str, Any]) -> socket.socket:
-    """Sends a request for a completion and returns its connection."""
-    body = json.dumps(asked).encode()
-    head = (
-        "POST /v1/completions HTTP/1.1\r\n"
-        f"Host: {address}\r\n"
-        "Content-Type: application/json\r\n"
-        f"Content-Length: {len(body)}\r\n\r\n"
+def _read_stream(response: urllib3.BaseHTTPResponse, started: float) -> Answer:
+    """Reads a stream of server-sent events to its end or its cut."""
+    hops: dict[str, str] = {}
+    text: list[str] = []
+    times: list[float] = []
+    error: dict[str, Any] = {}
+    whole = False
+    for data in _events(response):
+        if data == END:
+            whole = True
+            break
+        event = json.loads(data)
+        hops = event.get("hops", hops)
+        error = event.get("error", error)
+        for choice in event.get("choices", ()):
+            if choice["text"]:
+                text.append(choice["text"])
+                times.append(time.monotonic() - started)
+    if whole:
+        response.drain_conn()
+        response.release_conn()
+    else:
+        response.close()
+    return Answer(
+        response.status,
+        response.headers.get("X-Request-Id", ""),
+        hops,
+        "".join(text),
+        error,
+        whole and not error,
+        tuple(times),
+        time.monotonic() - started,
     )
-    return send_raw(address, head.encode() + body)
-
-
-def send_raw(address: str, data: bytes) -> socket.socket:
-    """Sends ``data`` as it is and returns the connection."""
-    host, _, port = address.rpartition(":")
-    found = socket.create_connection((host, int(port)), TIMEOUT_S)
-    found.sendall(data)
-    return found
 
 
-def exchange_raw(address: str, data: bytes) -> bytes:
-    """Sends ``data``, then returns all that comes until the end."""
-    with send_raw(address, data) as found:
-        found.shutdown(socket.SHUT_WR)
-        parts = []
-        while part := found.recv(65536):
-            parts.append(part)
-    return b"".join(parts)
+def _events(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    """Yields the data of each event; ends when the connection is cut."""
+    rest = b""
+    try:
+        for part in response.stream(65536):
+            *lines, rest = (rest + part).split(b"\n")
+            for line in lines:
+                if line.startswith(DATA):
+                    yield line.removeprefix(DATA)
+    except urllib3.exceptions.HTTPError:
+        return
--- a/tests/test_callers_gone.py
+++ b/tests/test_callers_gone.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from hemlockreel_standins import caller
 from hemlockreel_standins import processes
+from hemlockreel_standins import raw_caller
 
 POOL = {
     "service": "lesar",
@@ -89,7 +89,9 @@
     [("prefill", LONG_PROMPT), ("decode", SHORT_PROMPT)],
 )
 def test_memory_is_free_after_the_caller_closed(slow, state, prompt, stream):
-    gone = caller.send(slow.daemons[0].callers, asked(prompt, stream=stream))
+    gone = raw_caller.send(
+        slow.daemons[0].callers, asked(prompt, stream=stream)
+    )
     await_state(slow, state)
     gone.close()
     await_free(slow, BOUND_S)
@@ -98,7 +100,7 @@
 @pytest.mark.parametrize("stream", [False, True])
 def test_memory_is_free_when_the_engine_is_silent_too(slow, faults, stream):
     faults(mute_after_tokens=3)
-    gone = caller.send(slow.daemons[0].callers, asked(stream=stream))
+    gone = raw_caller.send(slow.daemons[0].callers, asked(stream=stream))
     await_state(slow, "decode")
     time.sleep(0.5)  # The stream has gone silent, and isn't resumed yet.
     gone.close()
@@ -107,7 +109,7 @@
 
 def test_memory_is_free_when_cancels_are_lost(slow, faults):
     faults(lose_answers=2)
-    gone = caller.send(slow.daemons[0].callers, asked())
+    gone = raw_caller.send(slow.daemons[0].callers, asked())
     await_state(slow, "decode")
     gone.close()
     await_free(slow, BOUND_S)
@@ -119,7 +121,7 @@
     silent = socket.socket()
     silent.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     silent.connect((host, int(port)))
-    body = caller.json.dumps(asked(tokens=30000, stream=True)).encode()
+    body = raw_caller.json.dumps(asked(tokens=30000, stream=True)).encode()
     head = (
         "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
         "Content-Type: application/json\r\n"
@@ -135,7 +137,7 @@
     """As many callers as fit leave, and as many fit again."""
     address = slow.daemons[0].callers
     for _ in range(2):
-        callers = [caller.send(address, asked()) for _ in range(20)]
+        callers = [raw_caller.send(address, asked()) for _ in range(20)]
         processes.await_that(
             lambda: (
                 len(
@@ -157,7 +159,7 @@
 def test_memory_is_free_after_a_caller_left_in_transfer(slow, faults, stream):
     # The engine's link stays busy for 4 s, so this test comes last.
     faults(link_bytes_per_s=500_000)
-    gone = caller.send(slow.daemons[0].callers, asked(stream=stream))
+    gone = raw_caller.send(slow.daemons[0].callers, asked(stream=stream))
     await_state(slow, "import")
     gone.close()
     await_free(slow, BOUND_S)
