Pass the configuration and the host list on as feeds

The accepted configuration is a document in the store that only the system writes, on condition of its version. Two daemons of a region watch the store and merge what operators declare; all others get differences from peers, by a push to four and by offers of versions. The host list goes the same way.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/daemon.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/daemon.py
@@ -51,6 +51,7 @@
         self._peers = peers.Peers(found.listen.peers, self.metrics)
         self._engines = futures.ThreadPoolExecutor(ENGINE_CALLERS, "engines")
         self._stores = futures.ThreadPoolExecutor(STORE_CALLERS, "store")
+        self._watches = futures.ThreadPoolExecutor(1, "watch")
         self._lists = futures.ThreadPoolExecutor(1, "hosts")
 
     def start(self) -> None:
@@ -61,7 +62,12 @@
     def stop(self) -> None:
         """Ends the loop and closes the sockets."""
         self.loop.stop()
-        for pool in (self._engines, self._stores, self._lists):
+        for pool in (
+            self._engines,
+            self._stores,
+            self._watches,
+            self._lists,
+        ):
             pool.shutdown(wait=False, cancel_futures=True)
         self._peers.close()
 
@@ -82,7 +88,10 @@
 
     def call_store(self, action: actions.CallStore) -> None:
         """Calls the store on a thread of its own."""
-        self._stores.submit(
+        # A watch is held for long and must not delay any other call.
+        is_watch = action.path.startswith("/v1/watch")
+        pool = self._watches if is_watch else self._stores
+        pool.submit(
             lambda: self.loop.post(
                 store_client.call(self.settings.store, action)
             )
--- /dev/null
+++ b/packages/hemlockreel/hemlockreel/acceptance.py
@@ -0,0 +1,275 @@
+"""Which of the operators' objects are accepted.
+
+The accepted configuration is a document in the store that only the system
+writes. :func:`merge` is a function of the accepted document before and of
+the objects that operators have written since, so any two daemons that see
+the same come to the same. An object that is invalid or does not fit the
+others is named as rejected, and its last valid version stays in force.
+"""
+
+from collections.abc import Mapping
+from typing import Any
+from typing import NamedTuple
+
+from . import checks
+from . import documents
+from . import objects
+
+REVISION = "revision"  # key: of the operators' objects that were merged
+REJECTED = "rejected"  # key: the objects that are not accepted
+# Fields in which no two objects of a kind may be the same.
+UNIQUE = {
+    "modelpools": ("model", "service"),
+    "routes": ("prefix",),
+    "rollouts": ("pool",),
+    "quotas": (),
+}
+
+
+class Declared(NamedTuple):
+    """An object as an operator wrote it."""
+
+    version: int
+    value: Any
+
+
+class _Change(NamedTuple):
+    """An object that is not in force as it is declared.
+
+    ``parsed`` is ``None`` when the object was deleted.
+    """
+
+    key: str
+    version: int
+    value: Any
+    parsed: objects.Declared | None
+
+
+Objects = dict[str, objects.Declared]
+
+
+def key_of(kind: str, name: str) -> str:
+    """Returns the key of an object in the document."""
+    return f"{kind}/{name}"
+
+
+def read(document: documents.Document) -> Objects:
+    """Returns the objects in force, parsed, by key."""
+    found = {}
+    for key, value in documents.values(document).items():
+        kind, _, name = key.partition("/")
+        if not name:
+            continue
+        parsed = objects.parse(kind, name, value["value"])
+        # An older release may know a field less; it keeps what it knows.
+        if not isinstance(parsed, objects.Invalid):
+            found[key] = parsed
+    return found
+
+
+def rejected(document: documents.Document) -> tuple[objects.Invalid, ...]:
+    """Returns the rejected objects with their reasons."""
+    listed = documents.values(document).get(REJECTED) or []
+    return tuple(
+        objects.Invalid(item["kind"], item["name"], item["reason"])
+        for item in listed
+    )
+
+
+def revision(document: documents.Document) -> int:
+    """Returns the revision of the objects that were merged."""
+    return documents.values(document).get(REVISION, 0)
+
+
+def merge(
+    before: documents.Document,
+    declared: Mapping[str, Declared],
+    at: int,
+) -> documents.Document:
+    """Returns the accepted document for the objects ``declared``.
+
+    ``at`` is the store's revision at which they were read. The result is
+    ``before`` itself if nothing changes, or if ``at`` is older.
+    """
+    if at < revision(before):
+        return before
+    accepted = _Accepted(before)
+    invalid = accepted.try_all(_find_changes(before, declared))
+    values: dict[str, Any] = dict(accepted.values)
+    values[REJECTED] = invalid
+    known = documents.values(before)
+    if values == {REJECTED: [], **_without(known, REVISION)}:
+        return before
+    values[REVISION] = at
+    return documents.change(before, values, before.version + 1)
+
+
+def _without(values: dict[str, Any], key: str) -> dict[str, Any]:
+    return {name: value for name, value in values.items() if name != key}
+
+
+def _find_changes(
+    before: documents.Document, declared: Mapping[str, Declared]
+) -> list[tuple[str, Declared | None]]:
+    """Returns what differs, pools first and older writes before newer."""
+    known = documents.values(before)
+    found: list[tuple[str, Declared | None]] = []
+    for key, item in declared.items():
+        if key not in known or known[key]["version"] != item.version:
+            found.append((key, item))
+    for key in known:
+        if "/" in key and key not in declared:
+            found.append((key, None))
+    return sorted(found, key=_order)
+
+
+def _order(change: tuple[str, Declared | None]) -> tuple[bool, int, int, str]:
+    key, item = change
+    kind = key.partition("/")[0]
+    place = objects.DECLARED_KINDS.index(kind)
+    return item is None, place, 0 if item is None else item.version, key
+
+
+class _Accepted:
+    """The objects in force while changes are tried one after the other."""
+
+    def __init__(self, before: documents.Document):
+        self.values = {
+            key: value
+            for key, value in documents.values(before).items()
+            if "/" in key
+        }
+        self.objects = read(before)
+
+    def try_all(
+        self, changes: list[tuple[str, Declared | None]]
+    ) -> list[dict[str, Any]]:
+        """Applies what can be applied; returns the rejected rest.
+
+        A change that does not fit may fit after another one, so the rest is
+        tried until no change fits any more.
+        """
+        faults = {}
+        waiting = []
+        for key, item in changes:
+            parsed = _parse(key, item)
+            if isinstance(parsed, objects.Invalid):
+                faults[key] = _reject(key, item, parsed.reason)
+            else:
+                waiting.append(_make_change(key, item, parsed))
+        if not self._apply_together(waiting):
+            waiting = self._apply_each(waiting)
+            for change in waiting:
+                reason = self._find_fault(change)
+                faults[change.key] = _reject(change.key, change, reason)
+        return [faults[key] for key in sorted(faults)]
+
+    def _apply_together(self, changes: list[_Change]) -> bool:
+        """Applies all changes at once, or none if they do not fit."""
+        before = dict(self.objects)
+        for change in changes:
+            self._put(self.objects, change)
+        if any(self._find_fault(change) for change in changes):
+            self.objects = before
+            return False
+        for change in changes:
+            self._keep(change)
+        return True
+
+    def _apply_each(self, changes: list[_Change]) -> list[_Change]:
+        """Applies the changes that fit; returns the others."""
+        waiting = changes
+        while True:
+            left = []
+            for change in waiting:
+                if self._find_fault(change):
+                    left.append(change)
+                    continue
+                self._put(self.objects, change)
+                self._keep(change)
+            if len(left) == len(waiting):
+                return left
+            waiting = left
+
+    def _put(self, found: Objects, change: _Change) -> None:
+        if change.parsed is None:
+            found.pop(change.key, None)
+        else:
+            found[change.key] = change.parsed
+
+    def _keep(self, change: _Change) -> None:
+        if change.parsed is None:
+            self.values.pop(change.key, None)
+            return
+        self.values[change.key] = {
+            "version": change.version,
+            "value": change.value,
+        }
+
+    def _find_fault(self, change: _Change) -> str:
+        """Returns why ``change`` does not fit the objects, or nothing."""
+        if change.parsed is None:
+            return _find_user(self.objects, change.key)
+        return _find_twin(self.objects, change) or _find_missing(
+            self.objects, change
+        )
+
+
+def _parse(
+    key: str, item: Declared | None
+) -> objects.Declared | objects.Invalid | None:
+    if item is None:
+        return None
+    kind, _, name = key.partition("/")
+    parsed = objects.parse(kind, name, item.value)
+    if isinstance(parsed, objects.Invalid):
+        return parsed
+    fault = checks.find_fault(parsed)
+    return objects.Invalid(kind, name, fault) if fault else parsed
+
+
+def _make_change(
+    key: str, item: Declared | None, parsed: objects.Declared | None
+) -> _Change:
+    if item is None:
+        return _Change(key, 0, None, None)
+    return _Change(key, item.version, item.value, parsed)
+
+
+def _reject(
+    key: str, item: Declared | _Change | None, reason: str
+) -> dict[str, Any]:
+    kind, _, name = key.partition("/")
+    version = 0 if item is None else item.version
+    return {"kind": kind, "name": name, "version": version, "reason": reason}
+
+
+def _find_twin(found: Objects, change: _Change) -> str:
+    """Returns which other object has the same unique field."""
+    kind = change.key.partition("/")[0]
+    for key, other in found.items():
+        if key == change.key or not key.startswith(f"{kind}/"):
+            continue
+        for field in UNIQUE[kind]:
+            value = getattr(change.parsed, field)
+            if getattr(other, field) == value:
+                return f"{key} has the {field} {value!r} already"
+    return ""
+
+
+def _find_missing(found: Objects, change: _Change) -> str:
+    """Returns which object is referred to but does not exist."""
+    if not isinstance(change.parsed, objects.Rollout):
+        return ""
+    pool = key_of("modelpools", change.parsed.pool)
+    return "" if pool in found else f"{pool} does not exist - at `$.pool`"
+
+
+def _find_user(found: Objects, key: str) -> str:
+    """Returns which object still refers to a deleted one."""
+    for user, other in found.items():
+        if not isinstance(other, objects.Rollout):
+            continue
+        if key_of("modelpools", other.pool) == key:
+            return f"deleted, but {user} refers to it"
+    return ""
--- /dev/null
+++ b/packages/hemlockreel/hemlockreel/checks.py
@@ -0,0 +1,100 @@
+"""What an operator's object must fulfil beyond the types of its fields."""
+
+import functools
+from typing import Any
+
+import msgspec
+
+from . import objects
+
+# The callers' interface answers these itself.
+RESERVED_PREFIX = "/v1/"
+
+
+@functools.singledispatch
+def find_fault(declared: Any) -> str:
+    """Returns what is wrong with an object, empty if nothing is.
+
+    >>> find_fault(objects.Quota(weight=0))
+    'Expected more than 0 - at `$.weight`'
+    """
+    raise TypeError(f"no such object: {declared!r}")
+
+
+@find_fault.register
+def _pool(declared: objects.ModelPool) -> str:
+    positive = (
+        "first_token_ms",
+        "between_tokens_ms",
+        "piece_tokens",
+        "max_prompt_tokens",
+        "max_output_tokens",
+        "decode_batch",
+    )
+    zero = (
+        "margin_ms",
+        "queue_limit",
+        "deferrable_wait_s",
+        "min_prefill",
+        "min_decode",
+    )
+    return (
+        _empty(declared, ("service", "model"))
+        or _not_above(declared, positive)
+        or _negative(declared, zero)
+        or _overcommit(declared)
+    )
+
+
+def _overcommit(declared: objects.ModelPool) -> str:
+    if declared.overcommit == "adaptive" or 0 <= declared.overcommit <= 1:
+        return ""
+    return "Expected `adaptive` or 0 to 1 - at `$.overcommit`"
+
+
+@find_fault.register
+def _route(declared: objects.Route) -> str:
+    if not declared.prefix.startswith("/"):
+        return "Expected a path that begins with / - at `$.prefix`"
+    if f"{declared.prefix}/".startswith(RESERVED_PREFIX):
+        return f"Paths below {RESERVED_PREFIX} are reserved - at `$.prefix`"
+    return (
+        _empty(declared, ("service",))
+        or _not_above(declared, ("timeout_ms", "max_in_flight"))
+        or _negative(declared, ("max_body_bytes",))
+    )
+
+
+@find_fault.register
+def _rollout(declared: objects.Rollout) -> str:
+    return _empty(declared, ("pool", "version")) or _not_above(
+        declared, ("max_unavailable",)
+    )
+
+
+@find_fault.register
+def _quota(declared: objects.Quota) -> str:
+    return _not_above(declared, ("weight",)) or _negative(
+        declared, ("max_in_flight",)
+    )
+
+
+def _empty(declared: msgspec.Struct, fields: tuple[str, ...]) -> str:
+    for field in fields:
+        if not getattr(declared, field):
+            return f"Expected a name - at `$.{field}`"
+    return ""
+
+
+def _not_above(declared: msgspec.Struct, fields: tuple[str, ...]) -> str:
+    for field in fields:
+        if getattr(declared, field) <= 0:
+            return f"Expected more than 0 - at `$.{field}`"
+    return ""
+
+
+def _negative(declared: msgspec.Struct, fields: tuple[str, ...]) -> str:
+    for field in fields:
+        if getattr(declared, field) < 0:
+            return f"Expected 0 or more - at `$.{field}`"
+    return ""
--- a/packages/hemlockreel/hemlockreel/configuration.py
+++ b/packages/hemlockreel/hemlockreel/configuration.py
@@ -1,18 +1,25 @@
-"""The accepted configuration and how it reaches this daemon."""
+"""The accepted configuration that this daemon has in force.
+
+It is a copy of the document that :mod:`acceptance` keeps in the store, and
+only ever replaced by a higher generation. :mod:`configuration_reader` reads
+it, and :mod:`feeds` passes it from daemon to daemon.
+"""
 
 from collections.abc import Iterable
 from collections.abc import Mapping
-import functools
 from typing import Any
 from typing import NamedTuple
 
+from . import acceptance
 from . import actions
 from . import board as boards
-from . import events
+from . import documents
+from . import feeds
+from . import membership
 from . import objects
 
-POLL_PERIOD_S = 1.0
-CALL_ID = "configuration"
+FEED = "configuration"
+START_WAIT_S = 1.5  # for a peer's answer before a new daemon serves
 
 
 class Configuration(NamedTuple):
@@ -27,11 +34,16 @@
 
 
 class State:
-    """The configuration in force, ``None`` before the first."""
+    """The configuration in force, ``None`` before the first.
+
+    ``started_at`` is the time of the first event. ``store_tried`` says that
+    the store has answered, or failed to, since then.
+    """
 
     def __init__(self):
         self.current: Configuration | None = None
-        self.next_poll = 0.0
+        self.started_at: float | None = None
+        self.store_tried = False
 
 
 def current(board: boards.Board) -> Configuration | None:
@@ -39,6 +51,15 @@
     return board.state(State).current
 
 
+def ready(board: boards.Board) -> bool:
+    """Returns whether this daemon may serve.
+
+    A new daemon first asks the store and a peer and takes the highest
+    generation, so it never serves by an older one than its predecessor.
+    """
+    return current(board) is not None
+
+
 def find_pool(
     board: boards.Board, model: str
 ) -> tuple[str, objects.ModelPool] | None:
@@ -63,50 +84,48 @@
     return max(matches, key=lambda route: len(route.prefix), default=None)
 
 
-@functools.singledispatch
-def handle(
-    event: Any, board: boards.Board, now: float
-) -> Iterable[actions.Action]:
-    """Handles events of the configuration; all others yield nothing."""
-    return ()
-
-
-@handle.register
-def _tick(
-    event: events.Tick, board: boards.Board, now: float
+def install(
+    board: boards.Board, document: documents.Document
 ) -> Iterable[actions.Action]:
+    """Puts ``document`` in force if its generation is higher."""
     state = board.state(State)
-    if now < state.next_poll:
+    known = state.current
+    if known is not None and document.version <= known.generation:
         return
-    state.next_poll = now + POLL_PERIOD_S
-    kinds = ",".join(objects.DECLARED_KINDS)
-    yield actions.CallStore(CALL_ID, "GET", f"/v1/objects?kinds={kinds}")
+    kinds: dict[str, dict[str, Any]] = {
+        kind: {} for kind in objects.DECLARED_KINDS
+    }
+    for key, parsed in acceptance.read(document).items():
+        kind, _, name = key.partition("/")
+        kinds[kind][name] = parsed
+    rejected = acceptance.rejected(document)
+    state.current = Configuration(document.version, **kinds, rejected=rejected)
+    membership.table(board).configuration = document.version
+    yield actions.Count("configuration_changes")
+    fields = {"generation": document.version, "rejected": len(rejected)}
+    yield actions.Log("configuration_in_force", fields)
 
 
-@handle.register
-def _answered(
-    event: events.StoreAnswered, board: boards.Board, now: float
+def handle(
+    event: Any, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
-    if event.call_id != CALL_ID or event.status != 200:
-        return
+    """Puts a newer generation in force, whatever the event was."""
     state = board.state(State)
-    generation = event.body["revision"]
-    if state.current is not None and generation <= state.current.generation:
-        return
-    state.current = _merge(generation, event.body["items"])
-    yield actions.Count("configuration_changes")
+    if state.started_at is None:
+        state.started_at = now
+    document = feeds.get(board, FEED)
+    if document.version and _may_serve(board, now):
+        yield from install(board, document)
 
 
-def _merge(generation: int, items: list[dict[str, Any]]) -> Configuration:
-    """Parses ``items``; objects that are not valid are set aside."""
-    kinds: dict[str, dict[str, Any]] = {
-        kind: {} for kind in objects.DECLARED_KINDS
-    }
-    rejected = []
-    for item in items:
-        parsed = objects.parse(item["kind"], item["name"], item["value"])
-        if isinstance(parsed, objects.Invalid):
-            rejected.append(parsed)
-        else:
-            kinds[item["kind"]][item["name"]] = parsed
-    return Configuration(generation, **kinds, rejected=tuple(rejected))
+def _may_serve(board: boards.Board, now: float) -> bool:
+    """Returns whether the sources of a new daemon were asked."""
+    state = board.state(State)
+    if state.current is not None:
+        return True
+    if not state.store_tried:
+        return False
+    others = bool(board.seeds) or len(membership.live(board)) > 1
+    heard = bool(board.state(feeds.State).heard)
+    waited = now - (state.started_at or 0.0) >= START_WAIT_S
+    return not others or heard or waited
--- /dev/null
+++ b/packages/hemlockreel/hemlockreel/configuration_status.py
@@ -0,0 +1,100 @@
+"""Writes into the store where which configuration is in force.
+
+The first reader of a region writes the object ``configuration-REGION`` of
+the kind ``status``, whenever what it says changes.
+"""
+
+from collections.abc import Iterable
+import functools
+from typing import Any
+
+from . import actions
+from . import board as boards
+from . import configuration
+from . import events
+from . import membership
+from . import readers
+
+CALL_ID = "configuration/status"
+PERIOD_S = 1.0
+MAX_BEHIND = 10  # members named one by one
+
+
+class State:
+    """What was written last, ``None`` before the first."""
+
+    def __init__(self):
+        self.written: dict[str, Any] | None = None
+        self.writing: dict[str, Any] | None = None
+        self.next_write = 0.0
+
+
+@functools.singledispatch
+def handle(
+    event: Any, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    """Handles events of the status; all others yield nothing."""
+    return ()
+
+
+@handle.register
+def _tick(
+    event: events.Tick, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    state = board.state(State)
+    if now < state.next_write or state.writing is not None:
+        return
+    if readers.rank(board, configuration.FEED) != 0:
+        state.written = None
+        return
+    found = configuration.current(board)
+    if found is None:
+        return
+    status = describe(board, found)
+    if status == state.written:
+        return
+    state.writing = status
+    state.next_write = now + PERIOD_S
+    path = f"/v1/objects/status/configuration-{board.identity.region}"
+    yield actions.CallStore(CALL_ID, "PUT", path, status)
+
+
+@handle.register
+def _answered(
+    event: events.StoreAnswered, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    if event.call_id != CALL_ID:
+        return
+    state = board.state(State)
+    if event.status in (200, 201):
+        state.written = state.writing
+    else:
+        # A repeat of a write that took effect does no harm.
+        state.next_write = now + max(PERIOD_S, event.retry_after_s)
+    state.writing = None
+    yield from ()
+
+
+def describe(
+    board: boards.Board, found: configuration.Configuration
+) -> dict[str, Any]:
+    """Returns how many members have which generation in force.
+
+    ``in_force`` counts the members that have at least the generation of
+    this daemon; some of the others are named in ``behind``.
+    """
+    members = membership.live(board)
+    behind = {
+        member.host: member.configuration
+        for member in members
+        if member.configuration < found.generation
+    }
+    named = sorted(behind)[:MAX_BEHIND]
+    return {
+        "region": board.identity.region,
+        "generation": found.generation,
+        "members": len(members),
+        "in_force": len(members) - len(behind),
+        "behind": {host: behind[host] for host in named},
+        "rejected": [invalid._asdict() for invalid in found.rejected],
+    }
--- a/packages/hemlockreel/hemlockreel/core.py
+++ b/packages/hemlockreel/hemlockreel/core.py
@@ -11,8 +11,11 @@
 from . import board as boards
 from . import claims
 from . import configuration
+from . import configuration_reader
+from . import configuration_status
 from . import drain
 from . import entry
+from . import feeds
 from . import hosts
 from . import membership
 from . import owner
@@ -22,8 +25,11 @@
 CONTROLLERS = (
     membership,
     probes,
+    feeds,
     hosts,
+    configuration_reader,
     configuration,
+    configuration_status,
     owner,
     entry,
     claims,
--- a/packages/hemlockreel/hemlockreel/hosts.py
+++ b/packages/hemlockreel/hemlockreel/hosts.py
@@ -1,23 +1,46 @@
-"""The platform's host list: which replicas live, and which are leaving."""
+"""The platform's host list: which replicas live, and which are leaving.
+
+Two daemons of a region read the list each second, each on connections of
+its own, and pass what changes on as a feed. A replica counts as live only
+if all recent readings agree on it, so one reader that sees it leaving is
+enough everywhere, whatever an older reading said.
+"""
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 import functools
 from typing import Any
 
 from . import actions
 from . import board as boards
+from . import documents
 from . import events
+from . import feeds
+from . import messages
+from . import readers
 from . import replicas
 
+FEED_PREFIX = "hosts/"
 READ_PERIOD_S = 1.0
+# Who is no reader reads for itself, at this period, while no feed is fresh.
+ALONE_PERIOD_S = 4.0
+JITTER = 0.3  # share of the periods above
+FRESH_S = 10.0  # age at which a reading is old
+SPREAD_S = 5.0  # a reading so much older than the newest does not count
 
 
 class State:
-    """The last list that was read, and when."""
+    """The replicas of the own region, and when a source agreed with them.
+
+    ``replicas`` is replaced, never changed. ``own`` is the last reading of
+    this daemon itself.
+    """
 
     def __init__(self):
         self.replicas: dict[str, replicas.Replica] = {}
         self.read_at: float | None = None
+        self.own = feeds.Feed()
+        self.reading = False
         self.next_read = 0.0
 
 
@@ -41,7 +64,7 @@
 def handle(
     event: Any, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
-    """Handles events of the host list; all others yield nothing."""
+    """Takes over what feeds have brought; all other events do nothing."""
     return ()
 
 
@@ -50,9 +73,17 @@
     event: events.Tick, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
     state = board.state(State)
-    if now < state.next_read:
+    _refresh(board, now)
+    if now < state.next_read or state.reading:
         return
-    state.next_read = now + READ_PERIOD_S
+    period = READ_PERIOD_S
+    if readers.rank(board, FEED_PREFIX) is None:
+        if age(board, now) < FRESH_S:
+            return
+        period = ALONE_PERIOD_S
+    jitter = JITTER * (board.rng.random() - 1)
+    state.next_read = now + period * (1 + jitter)
+    state.reading = True
     yield actions.ListHosts()
 
 
@@ -60,9 +91,94 @@
 def _listed(
     event: events.HostsListed, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
+    state = board.state(State)
+    state.reading = False
     if event.hosts is None:
         yield actions.Count("host_list_failures")
         return
+    wanted = {
+        replica.address: _plain(replica)
+        for replica in event.hosts
+        if replica.region == board.identity.region
+    }
+    known = state.own.document
+    if not known.version or documents.values(known) != wanted:
+        known = documents.change(known, wanted, known.version + 1)
+        state.own.document = known
+    state.own.read_at = now
+    if readers.rank(board, FEED_PREFIX) is not None:
+        identity = board.identity
+        name = f"{FEED_PREFIX}{identity.host}/{identity.epoch}"
+        yield from feeds.publish(board, name, known, now, read_at=now)
+    _refresh(board, now)
+
+
+@handle.register
+def _updated(
+    event: messages.FeedUpdate | messages.FeedOffer,
+    board: boards.Board,
+    now: float,
+) -> Iterable[actions.Action]:
+    _refresh(board, now)
+    return ()
+
+
+def _plain(replica: replicas.Replica) -> dict[str, Any]:
+    return {
+        "service": replica.service,
+        "zone": replica.zone,
+        "role": replica.role.value,
+        "leaving": replica.leaving,
+    }
+
+
+def _refresh(board: boards.Board, now: float) -> None:
+    """Makes the list anew from the readings that count."""
     state = board.state(State)
-    state.replicas = {replica.address: replica for replica in event.hosts}
-    state.read_at = now
+    readings = [
+        feed
+        for feed in (state.own, *feeds.find(board, FEED_PREFIX).values())
+        if feed.document.version and feed.read_at is not None
+    ]
+    if not readings:
+        return
+    newest = max(feed.read_at or 0.0 for feed in readings)
+    counted = [
+        documents.values(feed.document)
+        for feed in readings
+        if (feed.read_at or 0.0) >= newest - SPREAD_S
+    ]
+    state.read_at = max(newest, state.read_at or newest)
+    found = combine(counted, board.identity.region)
+    if found != state.replicas:
+        state.replicas = found
+
+
+def combine(
+    readings: list[dict[str, Any]], region: str
+) -> dict[str, replicas.Replica]:
+    """Returns the replicas of several readings of the list.
+
+    One that is missing or leaving in any reading, or differs between them,
+    is leaving.
+    """
+    found = {}
+    for address in sorted({name for reading in readings for name in reading}):
+        told = [reading.get(address) for reading in readings]
+        known = next(value for value in told if value is not None)
+        agreed = all(value == known for value in told)
+        found[address] = _replica(address, region, known, not agreed)
+    return found
+
+
+def _replica(
+    address: str, region: str, value: Mapping[str, Any], doubtful: bool
+) -> replicas.Replica:
+    return replicas.Replica(
+        address,
+        value["service"],
+        value["zone"],
+        region,
+        replicas.Role(value["role"]),
+        doubtful or value["leaving"],
+    )
--- a/packages/hemlockreel/hemlockreel/messages.py
+++ b/packages/hemlockreel/hemlockreel/messages.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from . import documents
+
 
 class Message(
     msgspec.Struct, frozen=True, array_like=True, tag=True, kw_only=True
@@ -84,26 +86,38 @@
     updates: list[MemberUpdate] = []
 
 
-# Configuration
+# Feeds
+
 
+class Head(msgspec.Struct, frozen=True, array_like=True):
+    """The version of a feed that a daemon holds.
 
-class ConfigurationOffer(Message):
-    """Tells a peer which accepted generation the sender has in force."""
+    ``age_s`` is the time since the source agreed with it, ``None`` where
+    that does not matter.
+    """
 
-    generation: int
+    feed: str
+    version: int
+    age_s: float | None = None
 
 
-class ConfigurationRequest(Message):
-    """Asks a peer for its accepted configuration above ``above``."""
+class FeedOffer(Message):
+    """Tells a peer which versions the sender holds.
+
+    Who is behind is sent the difference. ``answer`` marks an offer that was
+    caused by one, so that no third follows.
+    """
 
-    above: int
+    heads: list[Head] = []
+    answer: bool = False
 
 
-class ConfigurationUpdate(Message):
-    """An accepted configuration as JSON bytes."""
+class FeedUpdate(Message):
+    """What is new in a feed; see :class:`hemlockreel.documents.Difference`."""
 
-    generation: int
-    body: bytes
+    feed: str
+    difference: documents.Difference
+    age_s: float | None = None
 
 
 # Requests
@@ -239,9 +253,8 @@
     | SyncRequest
     | Sync
     | Gossip
-    | ConfigurationOffer
-    | ConfigurationRequest
-    | ConfigurationUpdate
+    | FeedOffer
+    | FeedUpdate
     | Ask
     | Grant
     | Refusal
--- a/packages/hemlockreel/tests/test_claims.py
+++ b/packages/hemlockreel/tests/test_claims.py
@@ -5,8 +5,7 @@
 from hemlockreel import claims
 from hemlockreel import events
 from hemlockreel import outcomes
-
-from . import claim_rig
+from hemlockreel_standins import claim_rig
 
 Reason = outcomes.Reason
 
--- a/packages/hemlockreel/tests/test_claims_orders.py
+++ b/packages/hemlockreel/tests/test_claims_orders.py
@@ -10,8 +10,7 @@
 
 from hemlockreel import events
 from hemlockreel import outcomes
-
-from . import claim_rig
+from hemlockreel_standins import claim_rig
 
 HOSTS = 3
 KEYS = ("a", "b")
--- a/packages/hemlockreel/tests/test_core.py
+++ b/packages/hemlockreel/tests/test_core.py
@@ -4,23 +4,12 @@
 from hemlockreel import replicas
 from hemlockreel_standins import helper
 
-
-def configured():
-    items = [
-        {
-            "kind": "modelpools",
-            "name": "lesar",
-            "version": 3,
-            "value": {"service": "lesar", "model": "lesar-7b"},
-        }
-    ]
-    body = {"revision": 3, "items": items}
-    return events.StoreAnswered("configuration", 200, body)
+POOLS = {"lesar": {"service": "lesar", "model": "lesar-7b"}}
 
 
 def test_generation_is_granted():
     made = helper.make_board()
-    helper.run(made, configured(), 0.0)
+    helper.configure(made, modelpools=POOLS)
     hosts = helper.listed(replicas.Role.PREFILL, replicas.Role.DECODE)
     helper.run(made, hosts, 0.0)
     asked = events.GenerationAsked(
--- a/packages/hemlockreel/tests/claim_rig.py
+++ b/standins/hemlockreel_standins/claim_rig.py
@@ -5,9 +5,10 @@
 from hemlockreel import claims
 from hemlockreel import events
 from hemlockreel import outcomes
-from hemlockreel_standins import helper
-from hemlockreel_standins import store
-from hemlockreel_standins import store_calls
+
+from . import helper
+from . import store
+from . import store_calls
 
 DOWN = {"error": "outage"}
 ANSWER = outcomes.Answered(201, (("Location", "/lots/7"),), b'{"lot": 7}')
@@ -41,6 +42,7 @@
         )
 
     def step(self, index, event):
+        """Lets one daemon handle ``event``."""
         for action in claims.handle(event, self.boards[index], self.now):
             if isinstance(action, actions.CallStore):
                 self.calls.append((index, self.boards[index], action))
@@ -50,6 +52,7 @@
                 )
 
     def ask(self, request_id, index=0, key="k", fingerprint="f"):
+        """Asks one daemon for a claim."""
         self.keys[request_id] = (index, self.boards[index], key)
         self.step(
             index, events.ClaimAsked(request_id, 1, "o", key, fingerprint)
@@ -75,11 +78,13 @@
         store_calls.perform(self.store, self.late.pop(position))
 
     def settle(self, how="whole", most=50):
+        """Answers the calls under way, and those that follow from them."""
         while self.calls and most:
             self.answer(0, how)
             most -= 1
 
     def pass_time(self, seconds, how="whole"):
+        """Ticks all daemons and answers their calls."""
         end = self.now + seconds
         while self.now < end:
             self.now += 0.1
@@ -88,9 +93,11 @@
             self.settle(how)
 
     def crash(self, index):
+        """Replaces a daemon by one that knows nothing."""
         self.boards[index] = self._board(index)
 
     def may_send(self, request_id):
+        """Tells whether the worker of a request holds an unused claim."""
         index, made, _ = self.keys[request_id]
         told = self.told.get(request_id, [])
         alive = made is self.boards[index]
--- a/standins/hemlockreel_standins/helper.py
+++ b/standins/hemlockreel_standins/helper.py
@@ -3,10 +3,13 @@
 import random
 from typing import Any
 
+from hemlockreel import acceptance
 from hemlockreel import actions
 from hemlockreel import board
+from hemlockreel import configuration
 from hemlockreel import core
 from hemlockreel import events
+from hemlockreel import feeds
 from hemlockreel import replicas
 
 HOST = "127.0.0.1:9000"
@@ -31,6 +34,20 @@
     return events.HostsListed(hosts)
 
 
+def configure(made: board.Board, **declared: dict[str, Any]) -> None:
+    """Puts a configuration in force, given by kind, name and value."""
+    items = {
+        acceptance.key_of(kind, name): acceptance.Declared(1, value)
+        for kind, named in declared.items()
+        for name, value in named.items()
+    }
+    known = feeds.get(made, configuration.FEED)
+    revision = acceptance.revision(known) + 1
+    document = acceptance.merge(known, items, revision)
+    list(feeds.publish(made, configuration.FEED, document, 0.0))
+    list(configuration.install(made, document))
+
+
 def run(made: board.Board, event: Any, now: float) -> list[actions.Action]:
     """Steps, and hands messages to the own host back until none is left.
 
