Free an engine's memory whichever of entry and owner dies

Cause: a grant was known to its owner alone, so a request whose owner died was never cancelled; a grant being cancelled still counted as held, so that a heartbeat kept it; and a cancel was repeated for ever, even after the request had moved to another owner. Ruled out: cancels by the entries themselves (they die with the callers), and trust in heartbeats alone after a pause or a cut.

Leases belong to the run of an entry (O(1) a heartbeat, no scans) and a revoked grant is remembered. A silent entry that is not known dead is asked once more. A new owner lists what its engines run, asks the entries, adopts what is claimed and cancels the rest; a daemon cut off from most of its region cancels nothing on silence. A cancel without an answer for 1.5 s is not repeated before the entries were asked again. Entries register running streams at the next owner; a stopping owner hands grants and queue over.

--- a/packages/hemlockreel/hemlockreel/core.py
+++ b/packages/hemlockreel/hemlockreel/core.py
@@ -17,6 +17,9 @@
 from . import membership
 from . import owner
 from . import probes
+from . import registration
+from . import renewal
+from . import takeover
 
 # Membership goes first, so that the others see the table after this event.
 CONTROLLERS = (
@@ -24,7 +27,10 @@
     probes,
     hosts,
     configuration,
+    renewal,
+    takeover,
     owner,
+    registration,
     entry,
     claims,
     drain,
--- a/packages/hemlockreel/hemlockreel/drain.py
+++ b/packages/hemlockreel/hemlockreel/drain.py
@@ -8,8 +8,10 @@
 from . import board as boards
 from . import entry
 from . import events
+from . import grants
 from . import membership
 
+HANDOVER_S = 5.0  # the longest wait for others to take the grants over
 ADDRESS_TTL_S = 5.0  # how long callers keep an answer about addresses
 
 
@@ -50,5 +52,9 @@
 def _tick(
     event: events.Tick, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
-    if closed(board, now) and not board.state(entry.State).requests:
+    if not closed(board, now) or board.state(entry.State).requests:
+        return
+    over_at = board.state(State).closes_at + HANDOVER_S
+    if grants.is_idle(board) or now >= over_at:
+        yield from membership.leave(board)
         yield actions.Exit()
--- a/packages/hemlockreel/hemlockreel/entry.py
+++ b/packages/hemlockreel/hemlockreel/entry.py
@@ -8,10 +8,10 @@
 from . import board as boards
 from . import configuration
 from . import events
+from . import leases
 from . import messages
 from . import objects
 from . import outcomes
-from . import owner
 from . import shards
 
 HEARTBEAT_S = 1.0
@@ -379,6 +379,6 @@
             sender=board.identity.host,
             epoch=board.identity.epoch,
             count=len(grants),
-            digest=owner.digest(grants),
+            digest=leases.digest(grants),
         )
         yield actions.Send(host, heartbeat)
--- a/packages/hemlockreel/hemlockreel/membership.py
+++ b/packages/hemlockreel/hemlockreel/membership.py
@@ -309,7 +309,10 @@
     event: events.Tick, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
     state = table(board)
+    was_draining = state.announced[0]
     _announce_changes(board)
+    if state.draining and not was_draining:
+        yield from tell_all(board, own_update(board))
     for host, changed_at in list(state.changed_at.items()):
         if changed_at + FORGET_S > now:
             continue
--- a/packages/hemlockreel/hemlockreel/messages.py
+++ b/packages/hemlockreel/hemlockreel/messages.py
@@ -232,6 +232,58 @@
     grant_ids: list[int]
 
 
+class HeldGrant(msgspec.Struct, frozen=True, array_like=True):
+    """A grant as its entry knows it; the ask comes without its prefixes."""
+
+    ask: Ask
+    grant_id: int
+    replica: str
+    prefill: str = ""
+
+
+class GrantQuery(Message):
+    """Asks an entry which of these requests and grants it holds.
+
+    The sender believes that it owns their shard.
+    """
+
+    seq: int
+    request_ids: list[str] = []
+    grant_ids: list[int] = []
+
+
+class GrantReport(Message):
+    """Answers a :class:`GrantQuery`, or registers grants at a new owner.
+
+    ``grants`` are held from the receiver from now on. ``elsewhere`` names
+    requests that are held from another owner. ``seq`` is 0 without a query.
+    """
+
+    seq: int
+    grants: list[HeldGrant] = []
+    elsewhere: list[str] = []
+
+
+class Moved(Message):
+    """Grants that another owner has taken over; nothing is cancelled."""
+
+    grant_ids: list[int]
+
+
+class AskElsewhere(Message):
+    """The sender keeps an ask no longer, since it does not own the shard."""
+
+    request_id: str
+    attempt: int
+
+
+class Abandoned(Message):
+    """A request that was under a revoked grant may still be at replicas."""
+
+    request_id: str
+    replicas: list[str]
+
+
 AnyMessage = (
     Ping
     | PingRequest
@@ -254,6 +306,11 @@
     | HeartbeatMismatch
     | GrantList
     | Revoked
+    | GrantQuery
+    | GrantReport
+    | Moved
+    | AskElsewhere
+    | Abandoned
 )
 
 _decoder = msgspec.msgpack.Decoder(AnyMessage)
--- /dev/null
+++ b/packages/hemlockreel/tests/test_precedence.py
@@ -0,0 +1,81 @@
+"""The merge of member updates against a naive version."""
+
+import functools
+import random
+
+import hypothesis
+from hypothesis import strategies
+import msgspec
+
+from hemlockreel import board as boards
+from hemlockreel import membership
+from hemlockreel import messages
+from hemlockreel import precedence
+
+STATES = ["alive", "suspect", "dead", "left"]
+
+UPDATES = strategies.lists(
+    strategies.builds(
+        messages.MemberUpdate,
+        host=strategies.sampled_from(["10.0.0.1:9000", "10.0.0.2:9000"]),
+        zone=strategies.just("orkanger"),
+        region=strategies.just("midt-norge"),
+        callers=strategies.just("c"),
+        epoch=strategies.integers(1, 3),
+        incarnation=strategies.integers(0, 3),
+        state=strategies.sampled_from(STATES),
+    ),
+    max_size=12,
+)
+
+
+def naive(updates):
+    """Returns the last word on each host, by rules told one by one."""
+
+    def newer(one, two):
+        if one.epoch != two.epoch:
+            return one if one.epoch > two.epoch else two
+        if one.incarnation != two.incarnation:
+            return one if one.incarnation > two.incarnation else two
+        order = [STATES.index(one.state), STATES.index(two.state)]
+        return one if order[0] >= order[1] else two
+
+    by_host = {}
+    for update in updates:
+        by_host.setdefault(update.host, []).append(update)
+    return {
+        host: functools.reduce(newer, found) for host, found in by_host.items()
+    }
+
+
+def merged(updates):
+    identity = boards.Identity("me", "c", "orkanger", "midt-norge", 1)
+    board = boards.Board(identity, (), random.Random(1))
+    list(membership.apply(board, updates, 0.0))
+    return membership.table(board).members
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+@hypothesis.given(UPDATES, strategies.randoms(use_true_random=False))
+def test_merge_agrees_with_the_naive_version_in_any_order(updates, rng):
+    wanted = naive(updates)
+    assert merged(updates) == wanted
+    shuffled = updates * 2
+    rng.shuffle(shuffled)
+    assert merged(shuffled) == wanted
+
+
+@hypothesis.settings(derandomize=True, deadline=None)
+@hypothesis.given(UPDATES)
+def test_own_run_is_never_held_for_gone(updates):
+    identity = boards.Identity("me", "c", "orkanger", "midt-norge", 2)
+    board = boards.Board(identity, (), random.Random(1))
+    rumours = [
+        msgspec.structs.replace(update, host="me") for update in updates
+    ]
+    list(membership.apply(board, rumours, 0.0))
+    own = membership.own_update(board)
+    assert own.state == precedence.ALIVE
+    for rumour in rumours:
+        if rumour.epoch <= own.epoch and rumour.state != precedence.ALIVE:
+            assert precedence.supersedes(own, rumour)
--- a/standins/hemlockreel_standins/fabric.py
+++ b/standins/hemlockreel_standins/fabric.py
@@ -82,7 +82,10 @@
             due, _, host, event = heapq.heappop(self._queue)
             self.now = max(self.now, due)
             if host in self.frozen:
-                self._push(self.now + TICK_S, host, event)
+                # A tick comes before the messages that wait in buffers.
+                ticks = isinstance(event, events.Tick)
+                wait_s = TICK_S / 20 if ticks else TICK_S
+                self._push(self.now + wait_s, host, event)
             elif host in self.boards:
                 self._step(host, event)
         self.now = end
