--- a/packages/hemlockreel-daemon/hemlockreel_daemon/store_client.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/store_client.py
@@ -1,28 +1,50 @@
-"""The client of the platform's object API."""
+"""The client of the platform's object API.
+
+Nothing is retried here: whether a write may be repeated is a decision of the
+core. A call whose effect is not known has the status 0. Each call opens a
+connection of its own, so one that is silent for good harms one call only.
+"""
 
 from hemlockreel import actions
 from hemlockreel import events
 
 from . import http_calls
 
+NO_ANSWER = 0  # the status of a call whose effect is not known
+
 
 def call(address: str, action: actions.CallStore) -> events.StoreAnswered:
-    """Calls the store once; status 0 when the effect is unknown."""
-    headers = {}
-    if action.expected == 0:
-        headers["If-None-Match"] = "*"
-    elif action.expected is not None:
-        headers["If-Match"] = str(action.expected)
+    """Calls the store at ``address`` once; blocks for ``timeout_s`` at most.
+
+    A watch is a call whose path is ``/v1/watch``; it may take as long as the
+    store was asked to hold it.
+    """
     answer = http_calls.call_json(
         address,
         action.method,
         action.path,
         action.value,
-        headers,
+        _conditions(action),
         action.timeout_s,
     )
     if isinstance(answer, http_calls.Failed):
-        return events.StoreAnswered(action.call_id, 0, {})
-    status, body, received = answer
-    retry_after = float(received.get("Retry-After") or 0)
-    return events.StoreAnswered(action.call_id, status, body, retry_after)
+        return events.StoreAnswered(action.call_id, NO_ANSWER, {})
+    status, body, headers = answer
+    if not isinstance(body, dict):
+        # What answered was not the store, so nothing is known of a write.
+        return events.StoreAnswered(action.call_id, NO_ANSWER, {})
+    retry_after_s = _seconds(headers.get("Retry-After", ""))
+    return events.StoreAnswered(action.call_id, status, body, retry_after_s)
+
+
+def _conditions(action: actions.CallStore) -> dict[str, str]:
+    if action.expected == 0:
+        return {"If-None-Match": "*"}
+    if action.expected is not None:
+        return {"If-Match": str(action.expected)}
+    return {}
+
+
+def _seconds(text: str) -> float:
+    """Returns the seconds of a ``Retry-After`` header, 0 without one."""
+    return float(text) if text.isdecimal() else 0.0
