--- a/packages/hemlockreel-daemon/hemlockreel_daemon/http_calls.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/http_calls.py
@@ -73,10 +73,7 @@
     sock = link.sock
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        # The connection sets its own time-out on the socket once more when
-        # it waits for the answer.
-        link.timeout = timeout_s
-        sock.settimeout(timeout_s)
+        link.timeout = timeout_s  # The library sets it at each step.
         with interrupting(box, sock):
             link.request(
                 method,
--- a/packages/hemlockreel-daemon/tests/test_callers_socket.py
+++ b/packages/hemlockreel-daemon/tests/test_callers_socket.py
@@ -1,4 +1,5 @@
 import socket
+import time
 
 import pytest
 
@@ -6,36 +7,85 @@
 from hemlockreel_daemon import callers_socket
 from hemlockreel_daemon import mailbox
 
+QUIET_S = 0.3
+
 
 @pytest.fixture
 def pair():
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        theirs = socket.create_connection(server.getsockname())
-        ours, _ = server.accept()
-        with ours, theirs:
-            yield ours, theirs
+    """A connection, with the time-out that the server sets."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        theirs = socket.create_connection(listener.getsockname())
+        ours, _ = listener.accept()
+    ours.settimeout(10.0)
+    with ours, theirs:
+        yield ours, theirs
 
 
 @pytest.fixture
-def watcher():
-    made = callers_socket.Watcher()
-    made.start()
-    return made
+def watched(pair):
+    watcher = callers_socket.Watcher()
+    watcher.start()
+    box = mailbox.Mailbox()
+    watcher.watch(pair[0], box)
+    yield watcher, box
+    watcher.forget(pair[0])
 
 
-def test_silent_caller_is_not_gone(pair, watcher):
-    # The server's sockets have a time-out, which recv() would wait for.
-    ours, _ = pair
-    ours.settimeout(0.1)
-    box = mailbox.Mailbox()
-    watcher.watch(ours, box)
-    assert box.get(0.5) is None
-    assert box.stopped is None
+def test_silent_caller_is_not_gone(watched):
+    assert watched[1].get(QUIET_S) is None
+
+
+def test_caller_that_sends_more_is_not_gone(pair, watched):
+    pair[1].sendall(b"GET / HTTP/1.1\r\n")
+    assert watched[1].get(QUIET_S) is None
+
+
+def test_closed_caller_is_gone(pair, watched):
+    pair[1].close()
+    gone = mailbox.Stopped(outcomes.Reason.CALLER_GONE)
+    assert watched[1].get(5.0) == gone
 
 
-def test_closed_caller_is_gone(pair, watcher):
-    ours, theirs = pair
+def test_forgotten_caller_is_not_looked_at(pair, watched):
+    watched[0].forget(pair[0])
+    pair[1].close()
+    assert watched[1].get(QUIET_S) is None
+
+
+def test_stop_interrupts_a_blocked_call(pair):
     box = mailbox.Mailbox()
-    watcher.watch(ours, box)
-    theirs.close()
-    assert box.get(4.0) == mailbox.Stopped(outcomes.Reason.CALLER_GONE)
+    watcher = callers_socket.Watcher()
+    watcher.start()
+    watcher.watch(pair[0], box)
+    with socket.create_server(("127.0.0.1", 0)) as silent:
+        call = socket.create_connection(silent.getsockname())
+        pair[1].close()
+        with call, box.interrupting(call):
+            call.settimeout(10.0)
+            assert call.recv(1) == b""
+
+
+def test_write_to_a_caller_that_reads_nothing_ends(pair):
+    callers_socket.set_up(pair[0])
+    started = time.monotonic()
+    with pytest.raises(OSError):
+        pair[0].sendall(b"x" * 2**24)
+    assert time.monotonic() - started < 2 * callers_socket.WRITE_TIMEOUT_S
+
+
+def test_dead_host_of_a_caller_is_found_within_4_s(pair):
+    # Loopback can't lose packets, so only the settings are looked at.
+    callers_socket.set_up(pair[0])
+    found = {
+        option: pair[0].getsockopt(socket.IPPROTO_TCP, option)
+        for option in (
+            socket.TCP_KEEPIDLE,
+            socket.TCP_KEEPINTVL,
+            socket.TCP_KEEPCNT,
+            socket.TCP_USER_TIMEOUT,
+        )
+    }
+    assert pair[0].getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+    idle, period, probes, unacknowledged_ms = found.values()
+    assert idle + period * probes < 4
+    assert unacknowledged_ms < 4000
