Read loads and cache events in a module of their own

The owner passes on how a grant ended and how much of its prompt was cached, as the ledger asks for both, and reads the cache events of its prefill engines once a second.

--- a/packages/hemlockreel/hemlockreel/core.py
+++ b/packages/hemlockreel/hemlockreel/core.py
@@ -14,6 +14,7 @@
 from . import drain
 from . import entry
 from . import hosts
+from . import loads
 from . import membership
 from . import owner
 from . import probes
@@ -30,6 +31,7 @@
     renewal,
     takeover,
     owner,
+    loads,
     registration,
     entry,
     claims,
--- /dev/null
+++ b/packages/hemlockreel/hemlockreel/loads.py
@@ -0,0 +1,125 @@
+"""What the owner of a shard reads from its engines: loads and cache events."""
+
+from collections.abc import Iterable
+import functools
+from typing import Any
+
+from . import actions
+from . import board as boards
+from . import configuration
+from . import events
+from . import grants
+from . import ledger
+from . import replicas
+from . import shards
+
+LOAD_PERIOD_S = 0.5
+CACHE_PERIOD_S = 1.0
+
+
+class State:
+    """When engines are read next, and the last cache event of each."""
+
+    def __init__(self):
+        self.next_load = 0.0
+        self.next_cache = 0.0
+        self.cache_seq: dict[str, int] = {}
+
+
+@functools.singledispatch
+def handle(
+    event: Any, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    """Handles events of loads; all others yield nothing."""
+    return ()
+
+
+def owned(board: boards.Board) -> dict[str, shards.Members]:
+    """Returns the model shards that this daemon believes it owns."""
+    found = configuration.current(board)
+    pools = found.modelpools.values() if found is not None else ()
+    return {
+        shard: members
+        for pool in pools
+        for shard, members in shards.get(board, pool.service).items()
+        if shards.is_owner(board, shard)
+    }
+
+
+@handle.register
+def _tick(
+    event: events.Tick, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    state = board.state(State)
+    if now >= state.next_load:
+        state.next_load = now + LOAD_PERIOD_S
+        for shard, replica in _watched(board):
+            yield actions.CallEngine(f"load/{shard}", replica.address, "load")
+    if now >= state.next_cache:
+        state.next_cache = now + CACHE_PERIOD_S
+        yield from _ask_cache(board, state)
+
+
+def _watched(
+    board: boards.Board,
+) -> list[tuple[str, replicas.Replica]]:
+    """Returns the engines of all shards that are looked after here.
+
+    These are the owned shards and those for which asks came here all the
+    same, since their owner is silent.
+    """
+    found = []
+    names = set(owned(board)) | set(board.state(grants.State).ledgers)
+    for shard in sorted(names):
+        listed = shards.get(board, shards.service_of(shard))
+        for replica in listed.get(shard, ()):
+            if replica.role is not replicas.Role.PLAIN:
+                found.append((shard, replica))
+    return found
+
+
+def _ask_cache(board: boards.Board, state: State) -> Iterable[actions.Action]:
+    """Reads the cache events of the prefill engines."""
+    watched = [
+        (shard, replica.address)
+        for shard, replica in _watched(board)
+        if replica.role is replicas.Role.PREFILL
+    ]
+    state.cache_seq = {
+        address: state.cache_seq.get(address, 0) for _, address in watched
+    }
+    for shard, address in watched:
+        query = f"?after={state.cache_seq[address]}"
+        yield actions.CallEngine(
+            f"cache/{shard}", address, "cache/events", query=query
+        )
+
+
+@handle.register
+def _answered(
+    event: events.EngineAnswered, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    if event.status != 200:
+        return
+    shard = event.call_id.partition("/")[2]
+    if event.operation == "load":
+        book = grants.open_ledger(board, shard)
+        if isinstance(book, ledger.Ledger):
+            book.set_load(event.address, event.body, now)
+            yield from grants.decide(board, shard, now)
+    elif event.operation == "cache/events":
+        _note_cache(board, shard, event)
+
+
+def _note_cache(
+    board: boards.Board, shard: str, event: events.EngineAnswered
+) -> None:
+    state = board.state(State)
+    last = state.cache_seq.get(event.address)
+    # An answer that comes twice tells nothing new.
+    if last is None or event.body["seq"] <= last:
+        return
+    state.cache_seq[event.address] = event.body["seq"]
+    book = board.state(grants.State).ledgers.get(shard)
+    if isinstance(book, ledger.Ledger):
+        book.set_cache_events(event.address, event.body["events"])
--- a/packages/hemlockreel/hemlockreel/owner.py
+++ b/packages/hemlockreel/hemlockreel/owner.py
@@ -2,7 +2,8 @@
 
 Ownership is soft. Two daemons may both believe for a second that they own a
 shard; engines refuse what does not fit, and nothing is lost. Leases are kept
-by :mod:`renewal`, grants of earlier owners are found by :mod:`takeover`.
+by :mod:`renewal`, engines are read by :mod:`loads`, and grants of earlier
+owners are found by :mod:`takeover`.
 """
 
 from collections.abc import Iterable
@@ -12,7 +13,6 @@
 from . import actions
 from . import board as boards
 from . import cancels
-from . import configuration
 from . import decisions
 from . import events
 from . import grants
@@ -20,20 +20,10 @@
 from . import ledger
 from . import messages
 from . import outcomes
-from . import replicas
-from . import shards
 
-LOAD_PERIOD_S = 0.5
 RETRY_AFTER_S = 1.0
 
 
-class State:
-    """When the loads of the replicas are read next."""
-
-    def __init__(self):
-        self.next_load = 0.0
-
-
 @functools.singledispatch
 def handle(
     event: Any, board: boards.Board, now: float
@@ -113,7 +103,7 @@
     found = _find(board, event, now)
     if found is not None:
         shard, book = found
-        book.prefilled(event.grant_id, now)
+        book.prefilled(event.grant_id, now, event.cached_tokens)
         yield from grants.decide(board, shard, now)
 
 
@@ -132,6 +122,10 @@
 def _release(
     event: messages.Release, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
+    found = _find(board, event, now)
+    if found is not None:
+        book = found[1]
+        book.ended(event.grant_id, event.output_tokens, event.failed, now)
     if event.clean:
         yield from grants.free(board, event.grant_id, now)
     else:
@@ -173,37 +167,6 @@
     for grant_id in cancels.give_up(board):
         yield actions.Count("lost_replica_cancels")
         yield from grants.free(board, grant_id, now)
-    own = board.state(State)
-    if now >= own.next_load:
-        own.next_load = now + LOAD_PERIOD_S
-        yield from _ask_load(board)
-
-
-def owned(board: boards.Board) -> dict[str, shards.Members]:
-    """Returns the model shards that this daemon believes it owns."""
-    found = configuration.current(board)
-    pools = found.modelpools.values() if found is not None else ()
-    return {
-        shard: members
-        for pool in pools
-        for shard, members in shards.get(board, pool.service).items()
-        if shards.is_owner(board, shard)
-    }
-
-
-def _ask_load(board: boards.Board) -> Iterable[actions.Action]:
-    """Reads the load of the replicas of all shards that are looked after.
-
-    These are the owned ones and those for which asks came here all the same,
-    since their owner is silent.
-    """
-    watched = set(owned(board)) | set(board.state(grants.State).ledgers)
-    for shard in sorted(watched):
-        listed = shards.get(board, shards.service_of(shard))
-        for replica in listed.get(shard, ()):
-            if replica.role is not replicas.Role.PLAIN:
-                call_id = f"load/{shard}"
-                yield actions.CallEngine(call_id, replica.address, "load")
 
 
 @handle.register
@@ -213,11 +176,3 @@
     if event.operation == "cancel":
         for grant_id in cancels.confirm(board, event):
             yield from grants.free(board, grant_id, now)
-        return
-    if event.operation != "load" or event.status != 200:
-        return
-    shard = event.call_id.removeprefix("load/")
-    book = grants.open_ledger(board, shard)
-    if isinstance(book, ledger.Ledger):
-        book.set_load(event.address, event.body, now)
-        yield from grants.decide(board, shard, now)
--- a/packages/hemlockreel/hemlockreel/takeover.py
+++ b/packages/hemlockreel/hemlockreel/takeover.py
@@ -17,9 +17,9 @@
 from . import grants
 from . import hosts
 from . import leases
+from . import loads
 from . import membership
 from . import messages
-from . import owner
 from . import precedence
 from . import replicas
 from . import shards
@@ -78,7 +78,7 @@
         state.queries.clear()
     if now < state.started_at + SETTLE_S:
         return
-    owned = owner.owned(board)
+    owned = loads.owned(board)
     for shard in state.owned - set(owned):
         yield from _hand_over(board, shard)
     yield from _list(board, owned, now)
