Hold a flooding organisation to its share, and space returns further

Change: an organisation that asks for more than a third of all gets no more memory than its max-min fair share of 85%, idle prefill engines only, and its own slots to return.

--- a/packages/hemlockreel/hemlockreel/ledger.py
+++ b/packages/hemlockreel/hemlockreel/ledger.py
@@ -22,6 +22,7 @@
 from . import queueing
 from . import replicas
 from . import returns
+from . import shares
 
 BYPASS = 4  # organisations whose next ask may use what the first one cannot
 HOPELESS_WAIT = 0.5  # share of the target that a too long prompt may wait
@@ -53,11 +54,13 @@
         self.pool = pool
         self.fleet = fleet.Fleet(pool)
         self.forecast = forecast.Forecast()
-        self.returns = returns.ReturnSlots()
+        self._returns = returns.ReturnSlots()
+        self._flood_returns = returns.ReturnSlots()
         self.places: dict[int, Place] = {}
         self._choices: dict[int, placement.Choice] = {}
-        self._interactive = queueing.FairQueue()
-        self._deferrable = queueing.FairQueue()
+        self._shares = shares.Shares()
+        self._interactive = queueing.FairQueue(self._shares)
+        self._deferrable = queueing.FairQueue(shares.Shares())
         self._placement = placement.Placement(
             self.fleet, self.forecast, overcommit.Overcommit(pool.overcommit)
         )
@@ -202,6 +205,7 @@
         choice = self._choices.pop(grant_id)
         deferrable = _deferrable(place.ask)
         choice.decode.release(place.pieces, deferrable, now)
+        self._shares.hold(place.ask.organisation, -place.pieces)
         if place.prefilling:
             choice.prefill.leave(grant_id, now)
         elif place.first_at is None:
@@ -256,6 +260,7 @@
         prefill_s = self.forecast.prefill_s(view.prefills, ask)
         cost_s = self.forecast.cost_s(view, pieces, prefill_s)
         self.forecast.offered(view, pieces, prefill_s)
+        self._shares.ask(ask.organisation, pieces, view.now)
         deadline = math.inf
         if ask.deadline_s:
             deadline = view.now + ask.deadline_s
@@ -294,7 +299,9 @@
         view = self._placement.view(entry.ask, now)
         queued = self._queue_of(entry.ask).ahead(entry.ask, math.inf)
         backlog_s = self.forecast.wait_s(view, queued, 0, 0)
-        retry_s = self.returns.retry_after(backlog_s, entry.cost, now)
+        floods = self._shares.floods(entry.ask.organisation, now)
+        slots = self._flood_returns if floods else self._returns
+        retry_s = slots.retry_after(backlog_s, entry.cost, now)
         return decisions.Denied(entry.ask, reason, retry_s)
 
     # Grants
@@ -313,8 +320,15 @@
         self, queue: queueing.FairQueue, now: float
     ) -> decisions.Granted | None:
         claimed: set[str] = set()
+        total = sum(x.total for x in self.fleet.decodes.values())
         for entry in queue.heads(BYPASS):
-            choice = self._placement.find(entry, queue, claimed, now)
+            name = entry.ask.organisation
+            floods = self._shares.floods(name, now)
+            if floods and not self._shares.allows(
+                name, entry.pieces, total, now
+            ):
+                continue
+            choice = self._placement.find(entry, queue, claimed, floods, now)
             if choice is not None:
                 queue.take(entry)
                 return self._grant(entry, choice, now)
@@ -331,8 +345,9 @@
         self.places[grant_id] = Place(entry.ask, entry.pieces, now)
         self._choices[grant_id] = choice
         deferrable = _deferrable(entry.ask)
-        choice.prefill.enter(grant_id, choice.work_s, deferrable, now)
+        choice.prefill.enter(grant_id, choice.work_s, choice.yields, now)
         choice.decode.grant(entry.pieces, deferrable, now)
+        self._shares.hold(entry.ask.organisation, entry.pieces)
         return decisions.Granted(
             entry.ask,
             grant_id,
--- a/packages/hemlockreel/hemlockreel/placement.py
+++ b/packages/hemlockreel/hemlockreel/placement.py
@@ -24,6 +24,7 @@
     prefill: stations.Prefill
     decode: stations.Decode
     ahead: bool
+    yields: bool
     work_s: float
 
 
@@ -53,15 +54,18 @@
         entry: queueing.Entry,
         queue: queueing.FairQueue,
         claimed: Set[str],
+        floods: bool,
         now: float,
     ) -> Choice | None:
         """Returns the replicas for ``entry``, ``None`` while there are none.
 
         ``queue`` is the one that ``entry`` waits in. The decode replicas in
         ``claimed`` are kept for asks that go before it.
+        ``floods`` says that its organisation asks for far too much.
         """
         view = self.view(entry.ask, now)
-        prefill = self._pick_prefill(entry, view)
+        yields = floods or entry.ask.klass == DEFERRABLE
+        prefill = self._pick_prefill(entry.ask, yields, view)
         if prefill is None:
             return None
         work_s = prefill.work_s(entry.ask.prompt_tokens, entry.ask.prefixes)
@@ -85,7 +89,7 @@
             decode = self._pick_ahead(entry, usable, share, lead_s)
         if decode is None:
             return None
-        return Choice(prefill, decode, ahead, work_s)
+        return Choice(prefill, decode, ahead, yields, work_s)
 
     def claim(
         self, entry: queueing.Entry, claimed: Set[str], now: float
@@ -104,7 +108,7 @@
         return None if best is None else best.address
 
     def _pick_prefill(
-        self, entry: queueing.Entry, view: forecasts.View
+        self, ask: messages.Ask, yields: bool, view: forecasts.View
     ) -> stations.Prefill | None:
         """Returns the replica by way of which the first token comes first.
 
@@ -117,8 +121,7 @@
             if len(station.line) < LINE_LIMIT
             and len(station.transfers) < TRANSFER_LIMIT
         ]
-        ask = entry.ask
-        if ask.klass == DEFERRABLE:
+        if yields:
             usable = _leave_prefills(usable, view)
         return min(
             usable,
@@ -191,8 +194,8 @@
 def _leave_prefills(
     usable: list[stations.Prefill], view: forecasts.View
 ) -> list[stations.Prefill]:
-    """Leaves half of the replicas, and any line, to interactive asks."""
-    running = sum(x.deferrable for x in view.prefills)
+    """Leaves half of the replicas, and any line, to other asks."""
+    running = sum(x.yielding for x in view.prefills)
     if running >= max(1, len(view.prefills) // 2):
         return []
     return [station for station in usable if not station.line]
--- a/packages/hemlockreel/hemlockreel/queueing.py
+++ b/packages/hemlockreel/hemlockreel/queueing.py
@@ -11,6 +11,7 @@
 import math
 
 from . import messages
+from . import shares
 
 MIN_WEIGHT = 0.001
 MAX_IDLE_ORGANISATIONS = 1024
@@ -87,9 +88,10 @@
 
 
 class FairQueue:
-    """Waiting asks of one class."""
+    """Waiting asks of one class, counted into ``shares`` as well."""
 
-    def __init__(self):
+    def __init__(self, share_counts: shares.Shares):
+        self._shares = share_counts
         self._entries: dict[tuple[str, int], Entry] = {}
         self._organisations: dict[str, _Organisation] = {}
         self._order: list[tuple[float, int, _Organisation]] = []
@@ -117,6 +119,7 @@
         heapq.heappush(self._expiry, (entry.give_up_at, number, entry))
         self._entries[entry.key] = entry
         entry.queued = True
+        self._shares.wait(name, entry.ask.weight, entry.pieces)
         organisation.count(entry, 1)
 
     def heads(self, limit: int) -> Iterator[Entry]:
@@ -150,7 +153,9 @@
         if entry is None:
             return None
         entry.queued = False
-        self._organisations[entry.ask.organisation].count(entry, -1)
+        name = entry.ask.organisation
+        self._organisations[name].count(entry, -1)
+        self._shares.wait(name, entry.ask.weight, -entry.pieces)
         return entry
 
     def expire(self, now: float) -> Iterator[Entry]:
--- a/packages/hemlockreel/hemlockreel/returns.py
+++ b/packages/hemlockreel/hemlockreel/returns.py
@@ -5,7 +5,7 @@
 other traffic.
 """
 
-RETURN_SHARE = 0.2  # share of the capacity that is set aside for returns
+RETURN_SHARE = 0.1  # share of the capacity that is set aside for returns
 MIN_RETRY_S = 0.5
 MAX_RETRY_S = 120.0
 
--- a/packages/hemlockreel/hemlockreel/stations.py
+++ b/packages/hemlockreel/hemlockreel/stations.py
@@ -69,7 +69,7 @@
         self._transfer_tokens = 0
         self._transfer_s = prediction.Average(TRANSFER_S_PER_TOKEN, 0.1)
         self.line: dict[int, float] = {}
-        self._deferrable: set[int] = set()
+        self._yielding: set[int] = set()
         self._work_s = 0.0
         self._started_at = 0.0
 
@@ -95,16 +95,16 @@
         return max(0.0, self._work_s - min(now - self._started_at, head_s))
 
     @property
-    def deferrable(self) -> int:
-        """The prefills in the line that could have waited."""
-        return len(self._deferrable)
+    def yielding(self) -> int:
+        """The prefills in the line that leave room for others."""
+        return len(self._yielding)
 
     def enter(
-        self, grant_id: int, work_s: float, deferrable: bool, now: float
+        self, grant_id: int, work_s: float, yields: bool, now: float
     ) -> None:
         """Adds a prefill to the line."""
-        if deferrable:
-            self._deferrable.add(grant_id)
+        if yields:
+            self._yielding.add(grant_id)
         if not self.line:
             self._started_at = now
         self.line[grant_id] = work_s
@@ -117,7 +117,7 @@
             return None
         first = next(iter(self.line)) == grant_id
         del self.line[grant_id]
-        self._deferrable.discard(grant_id)
+        self._yielding.discard(grant_id)
         self._work_s = self._work_s - work_s if self.line else 0.0
         if not first:
             return None
