--- a/standins/hemlockreel_standins/processes.py
+++ b/standins/hemlockreel_standins/processes.py
@@ -67,7 +67,12 @@
 
 
 class Deployment:
-    """The stand-ins and daemons of one deployment, as processes."""
+    """The stand-ins and daemons of one deployment, as processes.
+
+    ``daemon_module`` is the module that runs as a daemon.
+    """
+
+    daemon_module = "hemlockreel_daemon"
 
     def __init__(self, region: str):
         self.region = region
@@ -140,7 +145,9 @@
         name = f"daemon-{len(self.daemons)}"
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(value))
-        daemon = DaemonProcess(name, path, value, self.folder)
+        daemon = DaemonProcess(
+            name, path, value, self.folder, self.daemon_module
+        )
         self.processes.append(daemon)
         self.daemons.append(daemon)
         self.hosts.append(
@@ -181,6 +188,7 @@
         path: pathlib.Path,
         value: dict[str, Any],
         folder: pathlib.Path,
+        module: str = "hemlockreel_daemon",
     ):
         self.settings = value
         self.callers = value["listen"]["callers"]
@@ -188,19 +196,26 @@
         self.peers = value["listen"]["peers"]
         super().__init__(
             name,
-            ["hemlockreel_daemon", "--config", str(path)],
+            [module, "--config", str(path)],
             folder / f"{name}.log",
         )
 
     def await_ready(self, timeout_s: float = READY_TIMEOUT_S) -> None:
-        """Waits until callers may use this daemon."""
+        """Waits until callers may use this daemon.
+
+        Raises ``RuntimeError`` with the daemon's log when it has ended.
+        """
         await_that(
             lambda: (
-                self.running and get_status(self.operators, "/readyz") == 200
+                not self.running
+                or get_status(self.operators, "/readyz") == 200
             ),
             timeout_s,
-            f"{self.name} is not ready:\n{self.log.read_text()}",
+            f"{self.name} is not ready",
         )
+        if not self.running:
+            text = self.log.read_text()
+            raise RuntimeError(f"{self.name} has ended:\n{text}")
 
     def status(self) -> dict[str, Any]:
         """Returns what the daemon says of itself."""
@@ -216,15 +231,22 @@
         time.sleep(POLL_S)
 
 
+_ports: set[int] = set()  # returned by free_port before
+
+
 def free_port() -> int:
     """Returns a port that nothing listens on now.
 
     It lies below the range of the ports that connections get, so that no
-    connection of another process takes it in the meantime.
+    connection of another process takes it in the meantime. No port is
+    returned twice, since a daemon binds its port some time after this.
     """
     low = 20000
     for _ in range(200):
         port = low + int.from_bytes(os.urandom(2), "big") % 12000
+        if port in _ports:
+            continue
+        _ports.add(port)
         with socket.socket() as found:
             try:
                 found.bind(("127.0.0.1", port))
