--- a/packages/hemlockreel/hemlockreel/fleet.py
+++ b/packages/hemlockreel/hemlockreel/fleet.py
@@ -30,6 +30,11 @@
         """Whether a listed replica is on its way to another role."""
         return any(address in self.replicas for address in self._retiring)
 
+    @property
+    def pieces(self) -> int:
+        """The decode memory of all listed replicas."""
+        return sum(station.total for station in self.decodes.values())
+
     def set_pool(self, pool: objects.ModelPool) -> None:
         """Takes over a changed configuration of the pool."""
         self.pool = pool
--- a/packages/hemlockreel/hemlockreel/ledger.py
+++ b/packages/hemlockreel/hemlockreel/ledger.py
@@ -260,7 +260,7 @@
         prefill_s = self.forecast.prefill_s(view.prefills, ask)
         cost_s = self.forecast.cost_s(view, pieces, prefill_s)
         self.forecast.offered(view, pieces, prefill_s)
-        self._shares.ask(ask.organisation, pieces, view.now)
+        self._shares.ask(ask.organisation, ask.weight, pieces, view.now)
         deadline = math.inf
         if ask.deadline_s:
             deadline = view.now + ask.deadline_s
@@ -299,7 +299,8 @@
         view = self._placement.view(entry.ask, now)
         queued = self._queue_of(entry.ask).ahead(entry.ask, math.inf)
         backlog_s = self.forecast.wait_s(view, queued, 0, 0)
-        floods = self._shares.floods(entry.ask.organisation, now)
+        name = entry.ask.organisation
+        floods = self._shares.floods(name, self.fleet.pieces, now)
         slots = self._flood_returns if floods else self._returns
         retry_s = slots.retry_after(backlog_s, entry.cost, now)
         return decisions.Denied(entry.ask, reason, retry_s)
@@ -320,13 +321,11 @@
         self, queue: queueing.FairQueue, now: float
     ) -> decisions.Granted | None:
         claimed: set[str] = set()
-        total = sum(x.total for x in self.fleet.decodes.values())
+        total = self.fleet.pieces
         for entry in queue.heads(BYPASS):
             name = entry.ask.organisation
-            floods = self._shares.floods(name, now)
-            if floods and not self._shares.allows(
-                name, entry.pieces, total, now
-            ):
+            floods = self._shares.floods(name, total, now)
+            if floods and not self._shares.allows(name, entry.pieces):
                 continue
             choice = self._placement.find(entry, queue, claimed, floods, now)
             if choice is not None:
--- a/packages/hemlockreel/hemlockreel/placement.py
+++ b/packages/hemlockreel/hemlockreel/placement.py
@@ -69,11 +69,8 @@
         if prefill is None:
             return None
         work_s = prefill.work_s(entry.ask.prompt_tokens, entry.ask.prefixes)
-        usable = [
-            station
-            for station in view.decodes
-            if station.room(now) > 0 and station.address not in claimed
-        ]
+        unclaimed = [x for x in view.decodes if x.address not in claimed]
+        usable = [x for x in unclaimed if x.room(now) > 0]
         ahead = False
         if entry.ask.klass == DEFERRABLE:
             decode = self._pick_deferrable(entry, usable, now)
@@ -86,7 +83,7 @@
             pressure = self.forecast.wait_s(view, queued, 0, 0)
             pressure /= max(entry.ask.deadline_s, 1e-3)
             share = self.overcommit.share(pressure, entry.ask.prompt_tokens)
-            decode = self._pick_ahead(entry, usable, share, lead_s)
+            decode = self._pick_ahead(entry, unclaimed, share, lead_s, now)
         if decode is None:
             return None
         return Choice(prefill, decode, ahead, yields, work_s)
@@ -134,20 +131,22 @@
     def _pick_ahead(
         self,
         entry: queueing.Entry,
-        usable: list[stations.Decode],
+        unclaimed: list[stations.Decode],
         share: float,
         lead_s: float,
+        now: float,
     ) -> stations.Decode | None:
         """Returns a replica that should have the memory in time."""
         if share <= 0:
             return None
         wait_s = lead_s + RESULT_TTL_S
         best = None
-        best_free = -math.inf
-        for station in usable:
+        best_free = entry.pieces - 1
+        for station in unclaimed:
             expected = share * self.forecast.releases(station, wait_s)
             free = station.free + int(expected)
-            if free >= entry.pieces and free > best_free:
+            room = station.room(now) + int(expected)
+            if free > best_free and room > 0 and not station.slow:
                 best, best_free = station, free
         return best
 
--- a/packages/hemlockreel/hemlockreel/shares.py
+++ b/packages/hemlockreel/hemlockreel/shares.py
@@ -1,7 +1,7 @@
 """What each organisation holds, and how much a flooding one may hold.
 
-An organisation floods when it asks for a large part of all that is asked for.
-It then gets no more decode memory than a max-min fair share by weight: who
+An organisation floods when it asks for a large part of all that is asked for,
+and for clearly more than its share by weight. It then gets no more decode memory than a max-min fair share by weight: who
 wants less than the level gets it, a flooding one gets the level. A part of
 the memory is left out of the sharing, so that the asks of the others find
 room at once although the flood would take it all.
@@ -12,11 +12,12 @@
 from . import prediction
 
 FLOOD_SHARE = 1 / 3  # share of all that is asked for that makes a flood
+FLOOD_FACTOR = 1.5  # the least multiple of the own share by weight
 WINDOW_S = 20.0  # time over which it is counted what is asked for
 HEADROOM = 0.15  # share of memory that is not given to a flood
 PERIOD_S = 0.2  # how long a level is kept
 MIN_WEIGHT = 0.001
-MAX_ASKING = 1024
+FORGOTTEN_PIECES = 0.1  # an organisation that asked for less has gone
 
 
 class Shares:
@@ -27,25 +28,28 @@
         self._waiting: dict[str, int] = {}
         self._weights: dict[str, float] = {}
         self._asked: dict[str, prediction.Rate] = {}
-        self._all_asked = prediction.Rate(WINDOW_S)
         self._level = math.inf
-        self._level_at = -math.inf
+        self._flooding: set[str] = set()
+        self._counted_at = -math.inf
 
-    def ask(self, name: str, pieces: int, now: float) -> None:
+    def ask(self, name: str, weight: float, pieces: int, now: float) -> None:
         """Counts pieces that an organisation asks for, granted or not."""
         rate = self._asked.get(name)
         if rate is None:
-            self._forget(now)
             rate = self._asked[name] = prediction.Rate(WINDOW_S)
         rate.add(pieces, now)
-        self._all_asked.add(pieces, now)
+        self._weights[name] = max(weight, MIN_WEIGHT)
 
-    def floods(self, name: str, now: float) -> bool:
-        """Returns whether an organisation asks for a large part of all."""
-        rate = self._asked.get(name)
-        if rate is None:
-            return False
-        return rate.get(now) > FLOOD_SHARE * self._all_asked.get(now)
+    def floods(self, name: str, total: int, now: float) -> bool:
+        """Returns whether an organisation asks for a large part of all.
+
+        ``total`` is the memory of the shard in pieces.
+        """
+        if not self._counted_at <= now < self._counted_at + PERIOD_S:
+            self._counted_at = now
+            self._count_asked(now)
+            self._level = self._fill(total) if self._flooding else math.inf
+        return name in self._flooding
 
     def wait(self, name: str, weight: float, pieces: int) -> None:
         """Counts pieces that an organisation waits for, or no longer."""
@@ -56,15 +60,29 @@
         """Counts pieces that an organisation holds, or no longer."""
         self._add(self._held, name, pieces)
 
-    def allows(self, name: str, pieces: int, total: int, now: float) -> bool:
+    def allows(self, name: str, pieces: int) -> bool:
         """Returns whether a flooding one may hold ``pieces`` more."""
-        if not self._level_at <= now < self._level_at + PERIOD_S:
-            self._level = self._fill(total)
-            self._level_at = now
         limit = self._level * self._weights.get(name, 1.0)
         held = self._held.get(name, 0)
         return held == 0 or held + pieces <= limit
 
+    def _count_asked(self, now: float) -> None:
+        """Finds out who floods, and forgets who no longer asks."""
+        rates = {name: rate.get(now) for name, rate in self._asked.items()}
+        for name, rate in rates.items():
+            if rate * WINDOW_S < FORGOTTEN_PIECES:
+                del self._asked[name]
+                self._forget(name)
+        asked = sum(rates.values())
+        weights = sum(self._weights[name] for name in self._asked)
+        self._flooding = {
+            name
+            for name in self._asked
+            if rates[name] > FLOOD_SHARE * asked
+            and rates[name] * weights
+            > FLOOD_FACTOR * asked * self._weights[name]
+        }
+
     def _fill(self, total: int) -> float:
         """Returns the level, infinite when all demands fit below it."""
         wanted = []
@@ -82,21 +100,16 @@
             weights -= weight
         return math.inf
 
-    def _forget(self, now: float) -> None:
-        """Drops organisations that ask no more, when there are many."""
-        if len(self._asked) < MAX_ASKING:
-            return
-        self._asked = {
-            name: rate
-            for name, rate in self._asked.items()
-            if rate.get(now) * WINDOW_S > 1
-        }
-
     def _add(self, counts: dict[str, int], name: str, pieces: int) -> None:
         count = counts.get(name, 0) + pieces
         if count:
             counts[name] = count
             return
         counts.pop(name, None)
-        if name not in self._held and name not in self._waiting:
+        self._forget(name)
+
+    def _forget(self, name: str) -> None:
+        """Forgets the weight of who holds, waits and asks for nothing."""
+        known = (self._held, self._waiting, self._asked)
+        if not any(name in counts for counts in known):
             self._weights.pop(name, None)
--- /dev/null
+++ b/packages/hemlockreel/tests/test_balance.py
@@ -0,0 +1,53 @@
+import pytest
+
+from hemlockreel import balance
+from hemlockreel import replicas
+
+P = replicas.Role.PREFILL
+D = replicas.Role.DECODE
+
+
+@pytest.mark.parametrize(
+    ("prefills", "decodes", "demand", "wanted"),
+    [
+        (4, 4, (1.0, 5.0), D),
+        (2, 6, (3.0, 2.0), P),
+        (4, 4, (0.5, 1.0), None),  # Fits as it is.
+        (2, 6, (1.5, 5.7), None),  # No split is better.
+        (1, 3, (0.1, 9.0), None),  # The last prefill replica stays.
+        (3, 1, (9.0, 0.1), None),
+    ],
+)
+def test_role_is_proposed_where_it_is_needed(
+    prefills, decodes, demand, wanted
+):
+    shape = balance.Shape(
+        {f"p{x}": x for x in range(prefills)},
+        {f"d{x}": 9 - x for x in range(decodes)},
+        *demand,
+        False,
+    )
+    found = balance.propose(shape)
+    assert (found and found.role) == wanted
+    assert balance.propose(shape._replace(changing=True)) is None
+    if found is not None:
+        emptiest = "p0" if wanted is D else f"d{decodes - 1}"
+        assert found.address == emptiest
+
+
+def test_following_proposals_ends():
+    prefills, decodes = 7, 1
+    for _ in range(20):
+        shape = balance.Shape(
+            {f"p{x}": 0 for x in range(prefills)},
+            {f"d{x}": 0 for x in range(decodes)},
+            1.2,
+            5.0,
+            False,
+        )
+        found = balance.propose(shape)
+        if found is None:
+            break
+        step = 1 if found.role is D else -1
+        prefills, decodes = prefills - step, decodes + step
+    assert (prefills, decodes) == (2, 6)
--- /dev/null
+++ b/packages/hemlockreel/tests/test_queueing.py
@@ -0,0 +1,158 @@
+"""The queue against a naive one that sorts everything for each question."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from hemlockreel import messages
+from hemlockreel import queueing
+from hemlockreel import shares
+
+NAMES = ("a", "b", "c")
+WEIGHTS = {"a": 1.0, "b": 2.0, "c": 0.5}
+
+
+class NaiveQueue:
+    """Keeps a plain list and looks through all of it."""
+
+    def __init__(self):
+        self.entries = []
+        self.virtual = dict.fromkeys(NAMES, 0.0)
+        self.now = 0.0
+
+    def push(self, entry):
+        name = entry.ask.organisation
+        if all(x.ask.organisation != name for x in self.entries):
+            self.virtual[name] = max(self.virtual[name], self.now)
+        self.entries.append(entry)
+
+    def head_of(self, name):
+        own = [x for x in self.entries if x.ask.organisation == name]
+        return min(own, key=lambda x: (x.deadline, x.grant_id), default=None)
+
+    def lowest(self):
+        """All heads whose organisation has the lowest virtual time."""
+        heads = [head for head in map(self.head_of, NAMES) if head]
+        if not heads:
+            return []
+        low = min(self.virtual[x.ask.organisation] for x in heads)
+        return [x for x in heads if self.virtual[x.ask.organisation] == low]
+
+    def take(self, entry):
+        name = entry.ask.organisation
+        self.now = max(self.now, self.virtual[name])
+        self.virtual[name] += entry.cost / WEIGHTS[name]
+        self.entries.remove(entry)
+
+
+def make_entry(number, name, deadline, cost):
+    ask = messages.Ask(
+        sender="e",
+        epoch=1,
+        request_id=f"r{number}",
+        attempt=1,
+        shard="s",
+        organisation=name,
+        weight=WEIGHTS[name],
+    )
+    give_up_at = deadline - 0.5
+    return queueing.Entry(ask, number, deadline, give_up_at, 1, cost, cost)
+
+
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(
+            st.just("push"),
+            st.sampled_from(NAMES),
+            st.integers(1, 40),
+            st.integers(1, 4),
+        ),
+        st.tuples(st.just("take")),
+        st.tuples(st.just("remove"), st.integers(0, 30)),
+        st.tuples(st.just("expire"), st.integers(1, 40)),
+    ),
+    max_size=60,
+)
+
+
+@hypothesis.settings(derandomize=True, max_examples=300)
+@hypothesis.given(STEPS)
+def test_queue_serves_like_the_naive_one(steps):
+    queue = queueing.FairQueue(shares.Shares())
+    naive = NaiveQueue()
+    for number, step in enumerate(steps):
+        if step[0] == "push":
+            entry = make_entry(number, *step[1:])
+            queue.push(entry)
+            naive.push(entry)
+        elif step[0] == "take":
+            head = next(queue.heads(1), None)
+            if head is None:
+                assert naive.lowest() == []
+                continue
+            assert head in naive.lowest()
+            queue.take(head)
+            naive.take(head)
+        elif step[0] == "remove":
+            removed = queue.remove((f"r{step[1]}", 1))
+            found = [x for x in naive.entries if x.grant_id == step[1]]
+            assert found == ([] if removed is None else [removed])
+            naive.entries = [x for x in naive.entries if x not in found]
+        else:
+            expired = set(queue.expire(step[1]))
+            late = {x for x in naive.entries if x.give_up_at <= step[1]}
+            assert expired == late
+            naive.entries = [x for x in naive.entries if x not in late]
+        assert len(queue) == len(naive.entries)
+        heads = list(queue.heads(len(NAMES)))
+        wanted = [head for head in map(naive.head_of, NAMES) if head]
+        assert {x.grant_id for x in heads} == {x.grant_id for x in wanted}
+
+
+def serve(weights, rounds):
+    """Serves organisations that always wait; returns how often each."""
+    queue = queueing.FairQueue(shares.Shares())
+    served = dict.fromkeys(weights, 0)
+    for number in range(rounds * len(weights)):
+        name = list(weights)[number % len(weights)]
+        queue.push(make_entry(number, name, 1000 + number, 1.0))
+    for _ in range(rounds):
+        head = next(queue.heads(1))
+        queue.take(head)
+        served[head.ask.organisation] += 1
+    return served
+
+
+def test_weights_divide_what_is_served():
+    assert serve(WEIGHTS, 70) == {"a": 20, "b": 40, "c": 10}
+
+
+def test_full_queue_gives_a_place_to_an_organisation_that_uses_less():
+    queue = queueing.FairQueue(shares.Shares())
+    for number in range(5):
+        queue.push(make_entry(number, "a", 10 + number, 1))
+    newcomer = make_entry(9, "b", 5, 1)
+    assert queue.displace(newcomer.ask).grant_id == 4
+    assert queue.displace(make_entry(10, "a", 5, 1).ask) is None
+
+
+def asking(**asked):
+    counted = shares.Shares()
+    for name, pieces in asked.items():
+        counted.ask(name, 1.0, pieces, 1.0)
+        counted.wait(name, 1.0, pieces)
+    return counted
+
+
+def test_flood_is_held_to_the_level():
+    counted = asking(flood=40, b=4)
+    assert counted.floods("flood", 20, 1.0)
+    assert not counted.floods("b", 20, 1.0)
+    level = 20 * (1 - shares.HEADROOM) - 4
+    counted.hold("flood", int(level) - 1)
+    assert counted.allows("flood", 1)
+    assert not counted.allows("flood", 2)
+
+
+def test_organisation_alone_or_among_equals_does_not_flood():
+    assert not asking(a=40).floods("a", 20, 1.0)
+    assert not asking(a=40, b=38).floods("a", 20, 1.0)
