--- a/packages/hemlockreel/hemlockreel/shares.py
+++ b/packages/hemlockreel/hemlockreel/shares.py
@@ -1,10 +1,11 @@
 """What each organisation holds, and how much a flooding one may hold.
 
 An organisation floods when it asks for a large part of all that is asked for,
-and for clearly more than its share by weight. It then gets no more decode memory than a max-min fair share by weight: who
-wants less than the level gets it, a flooding one gets the level. A part of
-the memory is left out of the sharing, so that the asks of the others find
-room at once although the flood would take it all.
+and for clearly more than its share by weight. It then gets no more decode
+memory than a max-min fair share: who wants less than the level gets it, a
+flooding one gets the level. A part of the memory is left out of the sharing,
+so that the asks of the others find room at once although the flood would take
+it all.
 """
 
 import math
