--- a/packages/hemlockreel/hemlockreel/placement.py
+++ b/packages/hemlockreel/hemlockreel/placement.py
@@ -24,6 +24,7 @@
     prefill: stations.Prefill
     decode: stations.Decode
     ahead: bool
+    yields: bool
     work_s: float
 
 
@@ -53,23 +54,23 @@
         entry: queueing.Entry,
         queue: queueing.FairQueue,
         claimed: Set[str],
+        floods: bool,
         now: float,
     ) -> Choice | None:
         """Returns the replicas for ``entry``, ``None`` while there are none.
 
         ``queue`` is the one that ``entry`` waits in. The decode replicas in
         ``claimed`` are kept for asks that go before it.
+        ``floods`` says that its organisation asks for far too much.
         """
         view = self.view(entry.ask, now)
-        prefill = self._pick_prefill(entry, view)
+        yields = floods or entry.ask.klass == DEFERRABLE
+        prefill = self._pick_prefill(entry.ask, yields, view)
         if prefill is None:
             return None
         work_s = prefill.work_s(entry.ask.prompt_tokens, entry.ask.prefixes)
-        usable = [
-            station
-            for station in view.decodes
-            if station.room(now) > 0 and station.address not in claimed
-        ]
+        unclaimed = [x for x in view.decodes if x.address not in claimed]
+        usable = [x for x in unclaimed if x.room(now) > 0]
         ahead = False
         if entry.ask.klass == DEFERRABLE:
             decode = self._pick_deferrable(entry, usable, now)
@@ -82,10 +83,10 @@
             pressure = self.forecast.wait_s(view, queued, 0, 0)
             pressure /= max(entry.ask.deadline_s, 1e-3)
             share = self.overcommit.share(pressure, entry.ask.prompt_tokens)
-            decode = self._pick_ahead(entry, usable, share, lead_s)
+            decode = self._pick_ahead(entry, unclaimed, share, lead_s, now)
         if decode is None:
             return None
-        return Choice(prefill, decode, ahead, work_s)
+        return Choice(prefill, decode, ahead, yields, work_s)
 
     def claim(
         self, entry: queueing.Entry, claimed: Set[str], now: float
@@ -104,7 +105,7 @@
         return None if best is None else best.address
 
     def _pick_prefill(
-        self, entry: queueing.Entry, view: forecasts.View
+        self, ask: messages.Ask, yields: bool, view: forecasts.View
     ) -> stations.Prefill | None:
         """Returns the replica by way of which the first token comes first.
 
@@ -117,8 +118,7 @@
             if len(station.line) < LINE_LIMIT
             and len(station.transfers) < TRANSFER_LIMIT
         ]
-        ask = entry.ask
-        if ask.klass == DEFERRABLE:
+        if yields:
             usable = _leave_prefills(usable, view)
         return min(
             usable,
@@ -131,20 +131,22 @@
     def _pick_ahead(
         self,
         entry: queueing.Entry,
-        usable: list[stations.Decode],
+        unclaimed: list[stations.Decode],
         share: float,
         lead_s: float,
+        now: float,
     ) -> stations.Decode | None:
         """Returns a replica that should have the memory in time."""
         if share <= 0:
             return None
         wait_s = lead_s + RESULT_TTL_S
         best = None
-        best_free = -math.inf
-        for station in usable:
+        best_free = entry.pieces - 1
+        for station in unclaimed:
             expected = share * self.forecast.releases(station, wait_s)
             free = station.free + int(expected)
-            if free >= entry.pieces and free > best_free:
+            room = station.room(now) + int(expected)
+            if free > best_free and room > 0 and not station.slow:
                 best, best_free = station, free
         return best
 
@@ -191,8 +193,8 @@
 def _leave_prefills(
     usable: list[stations.Prefill], view: forecasts.View
 ) -> list[stations.Prefill]:
-    """Leaves half of the replicas, and any line, to interactive asks."""
-    running = sum(x.deferrable for x in view.prefills)
+    """Leaves half of the replicas, and any line, to other asks."""
+    running = sum(x.yielding for x in view.prefills)
     if running >= max(1, len(view.prefills) // 2):
         return []
     return [station for station in usable if not station.line]
