--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -6,7 +6,7 @@
 import pytest
 
 from hemlockreel_standins import processes
-from hemlockreel_standins import stream_caller as caller
+from hemlockreel_standins import raw_caller
 
 POOL = {"service": "lesar", "model": "lesar-7b", "max_output_tokens": 2048}
 TOKENS = 12
@@ -47,32 +47,32 @@
     small, faults, cut
 ):
     faults(cut_after_tokens=cut)
-    heard = caller.Stream(small.daemons[0].callers, asked()).read_all()
+    heard = raw_caller.Stream(small.daemons[0].callers, asked()).read_all()
     assert heard.whole(TOKENS), heard
 
 
 @pytest.mark.parametrize("fault", ["wrong_id", "repeat_answer", "skip_token"])
 def test_stray_doubled_and_missing_tokens_are_put_right(small, faults, fault):
     faults(**{fault: True})
-    heard = caller.Stream(small.daemons[0].callers, asked()).read_all()
+    heard = raw_caller.Stream(small.daemons[0].callers, asked()).read_all()
     assert heard.whole(TOKENS), heard
 
 
 def test_silent_stream_is_resumed_on_a_new_connection(small, faults):
     faults(mute_after_tokens=4)
-    heard = caller.Stream(small.daemons[0].callers, asked()).read_all()
+    heard = raw_caller.Stream(small.daemons[0].callers, asked()).read_all()
     assert heard.whole(TOKENS), heard
 
 
 def test_unstreamed_answer_is_whole_or_refused(small, faults):
     faults(cut_after_tokens=5)
-    status, body = caller.complete(small.daemons[0].callers, asked())
-    wanted = caller.engine.answer(body["id"], TOKENS)
+    status, body = raw_caller.complete(small.daemons[0].callers, asked())
+    wanted = raw_caller.engine.answer(body["id"], TOKENS)
     assert (status, body["choices"][0]["text"]) == (200, wanted)
 
 
 def test_cut_that_can_not_be_resumed_does_not_look_whole(small):
-    stream = caller.Stream(small.daemons[0].callers, asked(400))
+    stream = raw_caller.Stream(small.daemons[0].callers, asked(400))
     stream.read_tokens(3)
     cancel = {"request_id": stream.request_id}
     processes.HTTP.request(
@@ -87,7 +87,7 @@
 def test_unstreamed_cut_that_can_not_be_resumed_is_refused(small):
     address = small.daemons[0].callers
     with futures.ThreadPoolExecutor(1) as pool:
-        answer = pool.submit(caller.complete, address, asked(400))
+        answer = pool.submit(raw_caller.complete, address, asked(400))
         processes.await_that(lambda: held(small), 10, "nothing was decoded")
         for request_id in held(small):
             processes.HTTP.request(
@@ -109,7 +109,7 @@
 def test_many_callers_at_once_get_their_own_answers(small):
     def read(index):
         address = small.daemons[index % 2].callers
-        return caller.Stream(address, asked(30)).read_all()
+        return raw_caller.Stream(address, asked(30)).read_all()
 
     with futures.ThreadPoolExecutor(8) as pool:
         heard = list(pool.map(read, range(8)))
@@ -120,7 +120,7 @@
 def test_caller_learns_that_a_killed_host_cut_its_answer(small):
     daemon = small.add_daemon("orkanger")
     daemon.await_ready()
-    stream = caller.Stream(daemon.callers, asked(400))
+    stream = raw_caller.Stream(daemon.callers, asked(400))
     stream.read_tokens(3)
     daemon.signal(signal.SIGKILL)
     heard = stream.read_all()
