Let the demo show the log of a daemon that ended badly

Cause: pynng registers nng_fini() with atexit; NNG then panics when a thread is still in a receive (nni_aio_fini below nng_recvmsg) or one of its own threads is still at work (pthread_mutex_unlock: Invalid argument).

--- a/standins/hemlockreel_standins/demo.py
+++ b/standins/hemlockreel_standins/demo.py
@@ -26,6 +26,7 @@
 LAST_STREAM_TOKENS = 160  # still streams when the daemons are told to stop
 LAST_STREAM_HEAD_S = 0.7
 STOP_TIMEOUT_S = 25.0
+LOG_TAIL = 1500  # characters of a log that are shown
 
 
 class Sent(NamedTuple):
@@ -100,8 +101,10 @@
         self._say("SIGTERM to all daemons while this stream was open:")
         self._show(sent)
         self._say(f"daemons ended with {codes} after {took_s:.1f} s")
-        if any(codes):
-            self.faults.append(f"daemons ended with {codes}")
+        for daemon, code in zip(self._made.daemons, codes, strict=True):
+            if code:
+                log = daemon.log.read_text()[-LOG_TAIL:]
+                self.faults.append(f"{daemon.name} ended with {code}: {log}")
         stand_ins = [
             process
             for process in self._made.processes
