--- a/packages/hemlockreel-daemon/hemlockreel_daemon/calls.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/calls.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 import socket
+import time
 from typing import NamedTuple
 
 import urllib3
@@ -81,9 +82,25 @@
         self._job = job
         self._box = box
         self._idempotent = job.method not in job.route.non_idempotent
-        self._claimed = False
+        self._claim_asked = False
+        self._send_until: float | None = None  # of the claim, once it is held
 
     def run(self) -> Carried:
+        """Returns the outcome and has it recorded if a key was claimed."""
+        outcome: outcomes.Answered | outcomes.Refused = outcomes.unknown(
+            outcomes.Reason.BACKEND_FAILED
+        )
+        try:
+            carried = self._try()
+            outcome = carried.outcome
+            return carried
+        finally:
+            if self._claim_asked:
+                self._daemon.loop.post(
+                    events.ClaimEnded(self._job.request_id, outcome)
+                )
+
+    def _try(self) -> Carried:
         """Tries until there is an answer, or another try could run twice."""
         excluded: tuple[str, ...] = ()
         ran = False
@@ -99,10 +116,6 @@
             excluded += (grant.replica,)
         if ran and isinstance(carried.outcome, outcomes.Refused):
             carried = carried._replace(outcome=_admit(carried.outcome))
-        if self._claimed:
-            self._daemon.loop.post(
-                events.ClaimEnded(self._job.request_id, carried.outcome)
-            )
         return carried
 
     def _may_repeat(
@@ -147,6 +160,12 @@
             told = self._claim(attempt)
             if told is not None:
                 return Carried(told, grant.sender)
+            if self._is_late():
+                # This process or host was stopped for a while. The caller
+                # has most likely asked elsewhere by now.
+                reason = outcomes.Reason.STORE_UNAVAILABLE
+                refused = outcomes.not_run(reason, RETRY_AFTER_S)
+                return Carried(refused, grant.sender)
             outcome = self._send(grant, attempt)
             failed = isinstance(outcome, outcomes.Refused)
             return Carried(outcome, grant.sender, grant.replica)
@@ -158,8 +177,9 @@
     ) -> outcomes.Answered | outcomes.Refused | None:
         """Claims the key; ``None`` when the call may be sent now."""
         job = self._job
-        if self._idempotent or not job.key or self._claimed:
+        if self._idempotent or not job.key or self._send_until is not None:
             return None
+        self._claim_asked = True
         asked = events.ClaimAsked(
             job.request_id,
             attempt,
@@ -171,16 +191,20 @@
         value = self._box.get(CLAIM_TIMEOUT_S)
         if isinstance(value, outcomes.Answered | outcomes.Refused):
             return value
-        # The claim was made, or may yet be made: its end must be recorded.
-        self._claimed = True
         if isinstance(value, mailbox.Stopped):
             return outcomes.not_run(value.reason)
         if isinstance(value, claims.Claimed):
+            self._send_until = value.send_until
             return None
         return outcomes.not_run(
             outcomes.Reason.STORE_UNAVAILABLE, RETRY_AFTER_S
         )
 
+    def _is_late(self) -> bool:
+        """Returns whether the claim is held for too long to send now."""
+        until = self._send_until
+        return until is not None and time.monotonic() > until
+
     def _send(
         self, grant: messages.Grant, attempt: int
     ) -> outcomes.Answered | outcomes.Refused:
@@ -192,7 +216,7 @@
         job = self._job
         if self._box.stopped is not None:
             return outcomes.not_run(self._box.stopped.reason)
-        box = None if self._claimed else self._box
+        box = self._box if self._send_until is None else None
         with self._daemon.traces.span(
             "call",
             job.traceparent,
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/metrics.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/metrics.py
@@ -28,6 +28,8 @@
     "lost_messages": ("Messages to peers that could not be sent.", ()),
     "broken_messages": ("Messages from peers that were none.", ()),
     "stopped": ("Requests given up before their answer.", ("reason",)),
+    "claims": ("Claims of idempotency keys by result.", ("result",)),
+    "lost_claim_records": ("Outcomes of claims that were given up.", ()),
 }
 
 
