Let the core decide when a stop has nothing left to do

Cause: the thin drain ended as soon as the entry held no grant. A plain call between two tries, an answer still being written, a claim whose end was not recorded and a cancel that no engine had confirmed were not looked at; two seconds later the process ended under them. Members were not told. Requests were refused 5 s after the order to stop, though a member that had not heard of it could still give the address away.

Ruled out: waiting without an end for the store or an engine, since both may be down for long; a limit on the time of the requests themselves, since it would cut them.

Change: members are told at once, and that it left at the end. New requests are taken for 5 s (the time to live) and 2 s for the news to spread, then refused as not run, with other addresses. The main thread counts the callers; the core ends the process when there are none, no request, no claim to record and no cancel, or 3 s after the last request. An exception in the loop ends the process with exit code 1: before, the loop's thread died and the process stayed.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/callers.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/callers.py
@@ -47,6 +47,8 @@
         except Exception as error:
             self._leave()
             return answers.fail(error, request_id)
+        if self._daemon.loop.closed:
+            cherrypy.response.headers["Connection"] = "close"
         if isinstance(answer, Iterator):
             return _Guarded(answer, self._leave, _caller())
         self._leave()
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/daemon.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/daemon.py
@@ -28,6 +28,7 @@
 
 ENGINE_CALLERS = 8  # threads for calls of the control path to engines
 STORE_CALLERS = 4
+LINGER_S = 0.2  # for the last messages to peers
 EPOCHS_PER_S = 4
 EPOCH_START_S = 1_704_067_200  # the year 2024; 31 bits last until 2041
 
@@ -52,8 +53,9 @@
         self.mailboxes = mailbox.Mailboxes()
         self.watcher = callers_socket.Watcher()
         self.rng = random.Random(epoch + 1)  # of the workers
-        self.loop = loop.Loop(self.board, self._perform)
+        self.loop = loop.Loop(self.board, self._perform, self._fail)
         self.exiting = threading.Event()
+        self.failed = False
         self._peers = peers.Peers(found.listen.peers, self.metrics)
         self._engines = futures.ThreadPoolExecutor(ENGINE_CALLERS, "engines")
         self._stores = futures.ThreadPoolExecutor(STORE_CALLERS, "store")
@@ -68,6 +70,7 @@
     def stop(self) -> None:
         """Ends the loop and closes the sockets."""
         self.loop.stop()
+        time.sleep(LINGER_S)
         for pool in (self._engines, self._stores, self._lists):
             pool.shutdown(wait=False, cancel_futures=True)
         self._peers.close()
@@ -91,6 +94,11 @@
             if box.stopped is not None:
                 self.metrics.count("stopped", 1, (box.stopped.reason.value,))
 
+    def _fail(self) -> None:
+        """Ends the process after a broken invariant."""
+        self.failed = True
+        self.exiting.set()
+
     def _perform(self, action: actions.Action) -> None:
         """Does what the core wants; runs on the loop's thread."""
         perform(action, self)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/loop.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/loop.py
@@ -4,6 +4,7 @@
 import queue
 import threading
 import time
+import traceback
 from typing import Any
 
 from hemlockreel import actions
@@ -13,6 +14,8 @@
 from hemlockreel import drain
 from hemlockreel import events
 
+from . import logs
+
 TICK_S = 0.1
 
 
@@ -27,13 +30,15 @@
         self,
         board: boards.Board,
         perform: Callable[[actions.Action], None],
+        fail: Callable[[], None],
     ):
         self._board = board
         self._perform = perform
+        self._fail = fail
         self._events: queue.SimpleQueue = queue.SimpleQueue()
         self._stopping = False
         self._thread = threading.Thread(
-            target=self._run, name="loop", daemon=True
+            target=self._guard, name="loop", daemon=True
         )
         self.configuration: configuration.Configuration | None = None
         self.closed = False
@@ -56,6 +61,14 @@
         self.post(_Question(question, answers))
         return answers.get(timeout=5.0)
 
+    def _guard(self) -> None:
+        """Stops the process when the core fails: its state is not known."""
+        try:
+            self._run()
+        except Exception:
+            logs.write("loop_failed", {"trace": traceback.format_exc()})
+            self._fail()
+
     def _run(self) -> None:
         next_tick = time.monotonic()
         while not self._stopping:
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/main.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/main.py
@@ -5,7 +5,6 @@
 import signal
 import sys
 import threading
-import time
 
 from hemlockreel import events
 
@@ -19,7 +18,7 @@
 OPERATOR_THREADS = 4
 SPARE_THREADS = 16  # answer refusals while all others carry requests
 THREAD_STACK_BYTES = 256 * 1024
-LAST_ANSWERS_S = 2.0  # for answers that are still on their way at the end
+COUNT_PERIOD_S = 0.1
 
 
 def parse_arguments(arguments: list[str] | None) -> argparse.Namespace:
@@ -87,19 +86,25 @@
         return 1
     daemon.start()
     logs.write("started", {"host": daemon.board.identity.host})
-    daemon.exiting.wait()
-    _await_last_answers(root)
+    _count_callers(daemon, root)
     for server in opened:
         server.stop()
     daemon.stop()
+    if daemon.failed:
+        return 1
     logs.write("stopped", {"host": daemon.board.identity.host})
     return 0
 
 
-def _await_last_answers(root: callers.Callers) -> None:
-    end = time.monotonic() + LAST_ANSWERS_S
-    while root.active and time.monotonic() < end:
-        time.sleep(0.02)
+def _count_callers(daemon: daemons.Daemon, root: callers.Callers) -> None:
+    """Tells the loop how many callers are left, until it wants to end.
+
+    The callers are counted after the loop was found closed: who enters later
+    than that is refused.
+    """
+    while not daemon.exiting.wait(COUNT_PERIOD_S):
+        if daemon.loop.closed:
+            daemon.loop.post(events.CallersCounted(root.active))
 
 
 if __name__ == "__main__":
--- a/packages/hemlockreel/hemlockreel/drain.py
+++ b/packages/hemlockreel/hemlockreel/drain.py
@@ -1,4 +1,9 @@
-"""The graceful stop of this daemon."""
+"""The graceful stop of this daemon.
+
+It leaves the address answers at once and tells all members. It takes new
+requests until no caller can hold an answer that names it any more, and ends
+when the last request has. The reasons are in docs/design/drain.md.
+"""
 
 from collections.abc import Iterable
 import functools
@@ -6,18 +11,29 @@
 
 from . import actions
 from . import board as boards
+from . import cancels
+from . import claims
 from . import entry
 from . import events
 from . import membership
 
 ADDRESS_TTL_S = 5.0  # how long callers keep an answer about addresses
+SPREAD_S = 2.0  # until all members leave this daemon out of their answers
+SETTLE_S = 3.0  # for claims and cancels that the platform does not confirm
 
 
 class State:
-    """When the daemon stops taking requests, ``None`` while it serves."""
+    """How far the stop has come; all times are ``None`` before it.
+
+    ``closes_at`` is when the daemon stops taking requests, ``idle_at`` when
+    it had no request any more.
+    """
 
     def __init__(self):
         self.closes_at: float | None = None
+        self.idle_at: float | None = None
+        self.told = False
+        self.left = False
 
 
 def closed(board: boards.Board, now: float) -> bool:
@@ -41,7 +57,7 @@
     state = board.state(State)
     if state.closes_at is not None:
         return
-    state.closes_at = now + ADDRESS_TTL_S
+    state.closes_at = now + ADDRESS_TTL_S + SPREAD_S
     membership.table(board).draining = True
     yield actions.Log("draining", {"host": board.identity.host})
 
@@ -50,5 +66,34 @@
 def _tick(
     event: events.Tick, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
-    if closed(board, now) and not board.state(entry.State).requests:
+    """Tells the members, once the membership has taken over the change."""
+    state = board.state(State)
+    if state.closes_at is not None and not state.told:
+        state.told = True
+        update = membership.own_update(board)
+        yield from membership.tell_all(board, update)
+
+
+@handle.register
+def _counted(
+    event: events.CallersCounted, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    """Leaves when nothing is left to be done."""
+    state = board.state(State)
+    if state.left or not closed(board, now):
+        return
+    if event.active or board.state(entry.State).requests:
+        state.idle_at = None
+        return
+    if state.idle_at is None:
+        state.idle_at = now
+    if _is_settled(board) or now >= state.idle_at + SETTLE_S:
+        state.left = True
+        yield from membership.leave(board)
         yield actions.Exit()
+
+
+def _is_settled(board: boards.Board) -> bool:
+    """Returns whether neither a claim nor a cancel waits for an answer."""
+    cancelling = board.state(cancels.State).pending
+    return not (cancelling or claims.is_recording(board))
--- a/packages/hemlockreel/hemlockreel/events.py
+++ b/packages/hemlockreel/hemlockreel/events.py
@@ -102,6 +102,15 @@
     """The daemon was told to stop gracefully."""
 
 
+class CallersCounted(NamedTuple):
+    """How many callers' requests are being answered.
+
+    It is sent while the daemon takes no new ones.
+    """
+
+    active: int
+
+
 class HostsListed(NamedTuple):
     """The platform's host list was read; ``None`` when the read failed."""
 
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,181 @@
+"""Promise 5: a planned stop cuts no request in progress."""
+
+from concurrent import futures
+import itertools
+import signal
+import threading
+import time
+
+import pytest
+
+from hemlockreel_standins import processes
+from hemlockreel_standins import raw_caller as caller
+
+POOL = {
+    "service": "lesar",
+    "model": "lesar-7b",
+    "max_output_tokens": 2048,
+    "first_token_ms": 10000,
+}
+ROUTE = {"service": "ordrebok", "prefix": "/orders", "timeout_ms": 20000}
+ENGINE = ("--step-base-s", "0.02", "--step-per-sequence-s", "0")
+STREAMS = 30
+TOKENS = 500  # 10 s, longer than callers keep an address
+ADDRESS_TTL_S = 5.0
+LEAVING_BOUND_S = 4.0
+EXIT_BOUND_S = 60.0
+
+
+def asked(tokens=TOKENS):
+    return {"model": "lesar-7b", "prompt": "alloy " * 40, "max_tokens": tokens}
+
+
+@pytest.fixture
+def hosts():
+    """Two daemons before three decode engines and a plain service."""
+    with processes.Deployment("midt-norge") as made:
+        made.add_replica("lesar", "trondheim-a", "prefill")
+        for _ in range(3):
+            made.add_replica("lesar", "trondheim-a", "decode", ENGINE)
+        made.plain = made.add_replica("ordrebok", "trondheim-a", "plain")
+        made.apply("modelpools", "lesar", POOL)
+        made.apply("routes", "ordrebok", ROUTE)
+        for zone in ("trondheim-a", "trondheim-b"):
+            made.add_daemon(zone)
+        for daemon in made.daemons:
+            daemon.await_ready()
+        await_all_known(made.daemons)
+        yield made
+
+
+def await_all_known(daemons):
+    processes.await_that(
+        lambda: all(
+            len(daemon.status()["members"]) == len(daemons)
+            for daemon in daemons
+        ),
+        20,
+        "the daemons do not know each other",
+    )
+
+
+def addresses(daemon, who="me"):
+    path = f"/v1/addresses?caller={who}"
+    return processes.get(daemon.callers, path)["addresses"]
+
+
+def book(daemon, key):
+    return caller.HTTP.request(
+        "POST",
+        f"http://{daemon.callers}/orders/lots",
+        body=b"{}",
+        headers={"Idempotency-Key": key, "Content-Type": "application/json"},
+    )
+
+
+def test_open_streams_end_whole_and_old_addresses_still_serve(hosts):
+    old, other = hosts.daemons
+    with futures.ThreadPoolExecutor(STREAMS + 1) as pool:
+        streams = [caller.Stream(old.callers, asked()) for _ in range(STREAMS)]
+        for stream in streams:
+            stream.read_tokens(1)
+        heard = [pool.submit(stream.read_all) for stream in streams]
+        processes.put(hosts.plain.address, "/_faults", {"delay_s": 3.0})
+        booked = pool.submit(book, old, "k1")
+        time.sleep(0.5)
+        stopped = time.monotonic()
+        old.signal(signal.SIGTERM)
+        processes.await_that(
+            lambda: processes.get_status(old.operators, "/readyz") == 503,
+            LEAVING_BOUND_S,
+            "still ready",
+        )
+        assert old.callers not in addresses(old)
+        processes.await_that(
+            lambda: old.callers not in addresses(other),
+            LEAVING_BOUND_S,
+            "still given to callers",
+        )
+        old.signal(signal.SIGTERM)  # A second one changes nothing.
+        while time.monotonic() < stopped + ADDRESS_TTL_S - 1:
+            short = caller.Stream(old.callers, asked(5)).read_all()
+            assert short.whole(5), short
+            time.sleep(0.3)
+        await_refusals(old)
+        status, body = caller.complete(old.callers, asked(5))
+        assert (status, body["error"]["ran"]) == (503, "not_run")
+        assert body["error"]["addresses"] == [other.callers]
+        assert [each.result().whole(TOKENS) for each in heard] == [
+            True
+        ] * STREAMS
+        assert booked.result().status == 200
+    assert old.wait(EXIT_BOUND_S) == 0
+    processes.await_that(
+        lambda: len(other.status()["members"]) == 1,
+        LEAVING_BOUND_S,
+        "the host that left is still a member",
+    )
+
+
+def await_refusals(daemon):
+    def refused():
+        status, body = caller.complete(daemon.callers, asked(1))
+        return status == 503 and body["error"]["reason"] == "draining"
+
+    processes.await_that(refused, 10, "still open")
+
+
+def test_stop_while_the_store_is_down_ends_the_calls_in_progress(hosts):
+    old = hosts.daemons[0]
+    processes.put(hosts.plain.address, "/_faults", {"delay_s": 2.0})
+    with futures.ThreadPoolExecutor(1) as pool:
+        booked = pool.submit(book, old, "k2")
+        processes.await_that(
+            lambda: processes.get(hosts.store.address, "/v1/objects/claims")[
+                "items"
+            ],
+            10,
+            "no claim",
+        )
+        processes.put(hosts.store.address, "/_faults", {"outage": True})
+        old.signal(signal.SIGTERM)
+        assert booked.result().status == 200
+    assert old.wait(EXIT_BOUND_S) == 0
+
+
+def test_all_hosts_are_replaced_under_load(hosts):
+    ending = threading.Event()
+    faults = []
+
+    def load(index):
+        """Asks as a caller does, who keeps an answer for its time to live."""
+        known = hosts.daemons[index % 2].callers
+        for turn in itertools.count():
+            if ending.is_set():
+                return turn
+            path = f"/v1/addresses?caller=c{index}"
+            found = processes.get(known, path)
+            fresh_until = time.monotonic() + found["ttl_s"]
+            known = found["addresses"][0]
+            while time.monotonic() < fresh_until and not ending.is_set():
+                tokens = 150 if index % 2 else 20
+                heard = caller.Stream(known, asked(tokens)).read_all()
+                if not heard.whole(tokens):
+                    faults.append((known, heard))
+
+    olds = list(hosts.daemons)
+    with futures.ThreadPoolExecutor(8) as pool:
+        loads = [pool.submit(load, index) for index in range(8)]
+        try:
+            for old in olds:
+                hosts.add_daemon("orkanger").await_ready()
+                time.sleep(1.0)
+                old.signal(signal.SIGTERM)
+            codes = [old.wait(EXIT_BOUND_S) for old in olds]
+            time.sleep(1.0)
+        finally:
+            ending.set()
+        turns = [each.result() for each in loads]
+    assert codes == [0, 0]
+    assert faults == []
+    assert all(turns)
