Refuse wrong requests before any back end, and pass the others on unchanged

Cause: the thin path answered 500 to a negative or a broken length, forwarded a body that was cut short, said "not run" of a call that was sent again and then refused, and decoded paths, queries and headers on their way: %20 became a space, repeated headers and cookies were lost, and parameters named like the handler's arguments gave a 404.

Ruled out: CherryPy's own parsing with other encodings, which still drops what is repeated.

A path with dot segments is refused, as a server could take it for a path outside of the route.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/routing.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/routing.py
@@ -60,6 +60,10 @@
     """Returns the route of ``path``."""
     if found is None:
         return _NOT_CONFIGURED
+    if any(part in (".", "..") for part in path.split("/")):
+        # The backend server could take it for a path outside of the route.
+        detail = f"the path {path!r} has dot segments"
+        return outcomes.not_run(outcomes.Reason.BAD_REQUEST, detail=detail)
     route = configuration.match_route(found, path)
     if route is None:
         detail = f"no route matches {path!r}"
--- a/standins/hemlockreel_standins/raw_caller.py
+++ b/standins/hemlockreel_standins/raw_caller.py
@@ -130,10 +130,14 @@
     return found
 
 
-def exchange_raw(address: str, data: bytes) -> bytes:
-    """Sends ``data``, then returns all that comes until the end."""
+def exchange_raw(address: str, data: bytes, half_close: bool = False) -> bytes:
+    """Sends ``data``, then returns all that comes until the end.
+
+    With ``half_close`` the own side is closed before the answer is read.
+    """
     with send_raw(address, data) as found:
-        found.shutdown(socket.SHUT_WR)
+        if half_close:
+            found.shutdown(socket.SHUT_WR)
         parts = []
         while part := found.recv(65536):
             parts.append(part)
--- a/standins/hemlockreel_standins/server.py
+++ b/standins/hemlockreel_standins/server.py
@@ -38,6 +38,7 @@
     query: dict[str, str]
     headers: Any
     body: bytes
+    target: str = ""  # path and query as they came
 
     def json(self) -> Any:
         """Returns the body as JSON, ``None`` when it is empty."""
@@ -152,6 +153,7 @@
             dict(parse.parse_qsl(split.query)),
             self.headers,
             self.rfile.read(size),
+            self.path,
         )
         response = self.stand_in.handle(request)
         if response.drop:
@@ -164,6 +166,7 @@
             self.close_connection = True
 
     do_GET = do_PUT = do_POST = do_DELETE = do_PATCH = _serve
+    do_HEAD = do_OPTIONS = _serve
 
     def _send(self, response: Response) -> None:
         if isinstance(response.body, Iterator):
@@ -178,7 +181,8 @@
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
-        self.wfile.write(body)
+        if self.command != "HEAD":
+            self.wfile.write(body)
 
     def _send_chunks(self, response: Response) -> None:
         self.send_response(response.status)
--- a/standins/hemlockreel_standins/service.py
+++ b/standins/hemlockreel_standins/service.py
@@ -5,6 +5,9 @@
 
 from . import server
 
+COOKIES = (("Set-Cookie", "a=1"), ("Set-Cookie", "b=2"))
+OWN_HEADERS = {"x-request-id", "x-attempt", "content-length"}
+
 
 class Service(server.StandIn):
     """Answers every path, and keeps a journal of its runs."""
@@ -14,6 +17,7 @@
         "reset_after": 0,
         "wrong_id": 0,
         "status": 0,
+        "echo_headers": False,
     }
 
     def __init__(self):
@@ -39,6 +43,12 @@
         if self.take("wrong_id"):
             request_id = "another-" + request_id
         headers = (("X-Request-Id", request_id), ("X-Attempt", run["attempt"]))
+        if self.faults["echo_headers"]:
+            headers += COOKIES + tuple(
+                (name, value)
+                for name, value in request.headers.items()
+                if name.lower() not in OWN_HEADERS
+            )
         body = {"request_id": run["request_id"], "run": run["run"]}
         return server.Response(status, body, headers)
 
@@ -55,6 +65,7 @@
                 "key": request.headers.get("Idempotency-Key", ""),
                 "method": request.method,
                 "path": request.path,
+                "target": request.target,
                 "body": request.body.decode(errors="replace"),
                 "run": len(self.runs) + 1,
             }
