--- a/packages/hemlockreel/hemlockreel/configuration_reader.py
+++ b/packages/hemlockreel/hemlockreel/configuration_reader.py
@@ -31,13 +31,12 @@
 WATCH_TIMEOUT_S = 1.5  # without an answer it is given up
 RELIST_S = 10.0  # readers read everything at least this often
 POLL_S = 90.0  # the others look at the store
-ALONE_POLL_S = 2.0  # the same while no peer is heard
-ALONE_S = 5.0
 JITTER = 0.3  # share of the periods above
 STALE_AGAIN_S = 0.2  # after a read older than what is known
 AGAIN_S = 0.5  # after an answer that failed
-# The second reader writes this much later than the first would have.
-RANK_DELAY_S = 0.4
+# Each reader after the first writes this much later than the one before.
+RANK_DELAY_S = 0.3
+MAX_DELAYS = 2
 
 DECLARED = ",".join(objects.DECLARED_KINDS)
 
@@ -51,6 +50,7 @@
     """
 
     def __init__(self):
+        self.reader = False
         self.listing = False
         self.watching = False
         self.writing = False
@@ -76,9 +76,12 @@
     event: events.Tick, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
     state = board.state(State)
-    rank = readers.rank(board, configuration.FEED)
-    if rank is None and _is_alone(board, now):
-        state.next_list = min(state.next_list, now + ALONE_POLL_S)
+    rank = _rank(board, now)
+    if rank is None:
+        state.reader = False
+    elif not state.reader:
+        state.reader = True
+        state.next_list = now
     if now >= state.next_list and not state.listing:
         yield _list(board, rank, now)
     if rank is None or not state.listed:
@@ -87,9 +90,9 @@
         yield _watch(state)
 
 
-def _is_alone(board: boards.Board, now: float) -> bool:
-    heard_at = board.state(feeds.State).heard_at
-    return heard_at is None or now - heard_at > ALONE_S
+def _rank(board: boards.Board, now: float) -> int | None:
+    age_s = feeds.age(board, configuration.FEED, now)
+    return readers.rank(board, configuration.FEED, age_s, now)
 
 
 def _list(
@@ -155,7 +158,7 @@
             state.version = item["version"]
             stored = _parse(item["value"])
     yield from _take(board, stored, now)
-    if readers.rank(board, configuration.FEED) is not None:
+    if _rank(board, now) is not None:
         yield from _merge(board, stored, items, now)
 
 
@@ -174,7 +177,9 @@
 def _take(
     board: boards.Board, document: documents.Document, now: float
 ) -> Iterable[actions.Action]:
-    yield from feeds.publish(board, configuration.FEED, document, now)
+    yield from feeds.publish(
+        board, configuration.FEED, document, now, read_at=now
+    )
 
 
 def _merge(
@@ -200,8 +205,8 @@
         return
     if state.differs_since is None:
         state.differs_since = now
-    rank = readers.rank(board, configuration.FEED) or 0
-    due = state.differs_since + rank * RANK_DELAY_S
+    rank = _rank(board, now) or 0
+    due = state.differs_since + min(rank, MAX_DELAYS) * RANK_DELAY_S
     if now < due:
         _list_after(state, now, due - now)
         return
@@ -223,6 +228,9 @@
 ) -> Iterable[actions.Action]:
     state = board.state(State)
     if event.status == 200 and not event.body["events"]:
+        feeds.renew(board, configuration.FEED, now)
+        next_readers = readers.successors(board, configuration.FEED)
+        yield from feeds.tell(board, configuration.FEED, next_readers, now)
         return
     if event.status == 200:
         revisions = [
@@ -235,7 +243,7 @@
         yield actions.Count("configuration_watch_failures")
         state.next_watch = now + AGAIN_S
     if not state.listing:
-        yield _list(board, readers.rank(board, configuration.FEED), now)
+        yield _list(board, _rank(board, now), now)
 
 
 def _written(
--- a/packages/hemlockreel/hemlockreel/configuration_status.py
+++ b/packages/hemlockreel/hemlockreel/configuration_status.py
@@ -44,7 +44,7 @@
     state = board.state(State)
     if now < state.next_write or state.writing is not None:
         return
-    if readers.rank(board, configuration.FEED) != 0:
+    if not readers.first(board, configuration.FEED):
         state.written = None
         return
     found = configuration.current(board)
--- a/packages/hemlockreel/hemlockreel/feeds.py
+++ b/packages/hemlockreel/hemlockreel/feeds.py
@@ -22,7 +22,7 @@
 FANOUT = 4  # peers that a change is pushed to
 OFFER_PERIOD_S = 0.7
 OFFER_JITTER = 0.2  # share of the period
-FORGET_S = 60.0  # age at which a feed with a reading time is forgotten
+FORGET_S = 60.0  # age at which a feed of one source is forgotten
 PUSH_BYTES_PER_S = 1500.0
 PUSH_BURST_BYTES = 16384.0
 MAX_PUSH_BYTES = 4096  # a larger difference is left to the offers
@@ -32,8 +32,8 @@
     """The copy of one document.
 
     ``read_at`` is when its source was last seen to agree with it (the core's
-    time); ``None`` where the age does not matter. ``pushed`` is the version
-    that was last passed on.
+    time), ``None`` if nobody has told. ``pushed`` is the version that was
+    last passed on.
     """
 
     def __init__(self, read_at: float | None = None):
@@ -45,13 +45,13 @@
 class State:
     """The feeds by name.
 
-    ``heard_at`` is the time of the last message of a peer, ``heard`` the
-    peers that have told what they hold since the start.
+    ``started_at`` is the time of the first tick, ``heard`` the peers that
+    have told what they hold since then.
     """
 
     def __init__(self):
         self.feeds: dict[str, Feed] = {}
-        self.heard_at: float | None = None
+        self.started_at: float | None = None
         self.heard: set[str] = set()
         self.next_offer = 0.0
         self.budget = PUSH_BURST_BYTES
@@ -64,6 +64,18 @@
     return documents.EMPTY if feed is None else feed.document
 
 
+def age(board: boards.Board, name: str, now: float) -> float:
+    """Returns the time in seconds since the source agreed with a feed.
+
+    When nobody has told, it counts from the start of this daemon.
+    """
+    state = board.state(State)
+    feed = state.feeds.get(name)
+    if feed is None or feed.read_at is None:
+        return now - state.started_at if state.started_at else 0.0
+    return now - feed.read_at
+
+
 def find(board: boards.Board, prefix: str) -> dict[str, Feed]:
     """Returns the feeds whose names begin with ``prefix``."""
     feeds = board.state(State).feeds
@@ -89,6 +101,27 @@
         yield from _push(board, name, now)
 
 
+def renew(board: boards.Board, name: str, now: float) -> None:
+    """Notes that the source agrees with what is known."""
+    _renew(_open(board.state(State), name, now), 0.0, now)
+
+
+def tell(
+    board: boards.Board, name: str, peers: Iterable[str], now: float
+) -> Iterable[actions.Action]:
+    """Tells ``peers`` the version and age of one feed."""
+    feed = board.state(State).feeds[name]
+    head = messages.Head(name, feed.document.version, _age(feed, now))
+    offer = messages.FeedOffer(
+        sender=board.identity.host,
+        epoch=board.identity.epoch,
+        heads=[head],
+        partial=True,
+    )
+    for peer in peers:
+        yield actions.Send(peer, offer)
+
+
 def _open(state: State, name: str, read_at: float | None) -> Feed:
     feed = state.feeds.get(name)
     if feed is None:
@@ -96,6 +129,15 @@
     return feed
 
 
+def _is_old(name: str, age_s: float | None) -> bool:
+    """Returns whether a feed is to be forgotten.
+
+    Those of one source, named ``topic/source``, end with it; one that all
+    daemons share lasts.
+    """
+    return "/" in name and age_s is not None and age_s > FORGET_S
+
+
 @functools.singledispatch
 def handle(
     event: Any, board: boards.Board, now: float
@@ -109,8 +151,10 @@
     event: events.Tick, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
     state = board.state(State)
+    if state.started_at is None:
+        state.started_at = now
     for name, feed in list(state.feeds.items()):
-        if feed.read_at is not None and now - feed.read_at > FORGET_S:
+        if _is_old(name, _age(feed, now)):
             del state.feeds[name]
         elif feed.pushed < feed.document.version:
             yield from _push(board, name, now)
@@ -157,11 +201,11 @@
     event: messages.FeedOffer, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
     state = board.state(State)
-    _hear(state, event.sender, now)
+    state.heard.add(event.sender)
     theirs = {head.feed: head for head in event.heads}
     behind = False
     for name, head in theirs.items():
-        if head.age_s is not None and head.age_s > FORGET_S:
+        if _is_old(name, head.age_s):
             continue
         known = state.feeds.get(name)
         version = 0 if known is None else known.document.version
@@ -169,6 +213,8 @@
         if known is not None and head.version == version:
             _renew(known, head.age_s, now)
     for name, feed in state.feeds.items():
+        if event.partial and name not in theirs:
+            continue
         version = theirs[name].version if name in theirs else 0
         if feed.document.version > version:
             yield _update(board, event.sender, name, version, now)
@@ -176,14 +222,9 @@
         yield _offer(board, event.sender, now, answer=True)
 
 
-def _hear(state: State, sender: str, now: float) -> None:
-    state.heard_at = now
-    state.heard.add(sender)
-
-
 def _renew(feed: Feed, age_s: float | None, now: float) -> None:
-    if age_s is not None and feed.read_at is not None:
-        feed.read_at = max(feed.read_at, now - age_s)
+    if age_s is not None:
+        feed.read_at = max(feed.read_at or 0.0, now - age_s)
 
 
 def _update(
@@ -205,8 +246,8 @@
     event: messages.FeedUpdate, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
     state = board.state(State)
-    _hear(state, event.sender, now)
-    if event.age_s is not None and event.age_s > FORGET_S:
+    state.heard.add(event.sender)
+    if _is_old(event.feed, event.age_s):
         return
     read_at = None if event.age_s is None else now - event.age_s
     feed = _open(state, event.feed, read_at)
--- a/packages/hemlockreel/hemlockreel/hosts.py
+++ b/packages/hemlockreel/hemlockreel/hosts.py
@@ -22,10 +22,7 @@
 
 FEED_PREFIX = "hosts/"
 READ_PERIOD_S = 1.0
-# Who is no reader reads for itself, at this period, while no feed is fresh.
-ALONE_PERIOD_S = 4.0
-JITTER = 0.3  # share of the periods above
-FRESH_S = 10.0  # age at which a reading is old
+JITTER = 0.3  # share of the period
 SPREAD_S = 5.0  # a reading so much older than the newest does not count
 
 
@@ -41,6 +38,8 @@
         self.read_at: float | None = None
         self.own = feeds.Feed()
         self.reading = False
+        self.tried = False
+        self.started_at: float | None = None
         self.next_read = 0.0
 
 
@@ -73,26 +72,35 @@
     event: events.Tick, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
     state = board.state(State)
+    if state.started_at is None:
+        state.started_at = now
     _refresh(board, now)
     if now < state.next_read or state.reading:
         return
-    period = READ_PERIOD_S
-    if readers.rank(board, FEED_PREFIX) is None:
-        if age(board, now) < FRESH_S:
-            return
-        period = ALONE_PERIOD_S
+    # A new daemon reads once for itself, whoever else does.
+    if state.tried and _rank(board, now) is None:
+        return
     jitter = JITTER * (board.rng.random() - 1)
-    state.next_read = now + period * (1 + jitter)
+    state.next_read = now + READ_PERIOD_S * (1 + jitter)
     state.reading = True
     yield actions.ListHosts()
 
 
+def _rank(board: boards.Board, now: float) -> int | None:
+    """Returns this daemon's place among the readers of the list."""
+    state = board.state(State)
+    known_at = state.started_at if state.read_at is None else state.read_at
+    age_s = 0.0 if known_at is None else now - known_at
+    return readers.rank(board, FEED_PREFIX, age_s, now)
+
+
 @handle.register
 def _listed(
     event: events.HostsListed, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
     state = board.state(State)
     state.reading = False
+    state.tried = True
     if event.hosts is None:
         yield actions.Count("host_list_failures")
         return
@@ -106,10 +114,12 @@
         known = documents.change(known, wanted, known.version + 1)
         state.own.document = known
     state.own.read_at = now
-    if readers.rank(board, FEED_PREFIX) is not None:
+    if _rank(board, now) is not None:
         identity = board.identity
         name = f"{FEED_PREFIX}{identity.host}/{identity.epoch}"
         yield from feeds.publish(board, name, known, now, read_at=now)
+        next_readers = readers.successors(board, FEED_PREFIX)
+        yield from feeds.tell(board, name, next_readers, now)
     _refresh(board, now)
 
 
--- a/packages/hemlockreel/hemlockreel/messages.py
+++ b/packages/hemlockreel/hemlockreel/messages.py
@@ -105,11 +105,13 @@
     """Tells a peer which versions the sender holds.
 
     Who is behind is sent the difference. ``answer`` marks an offer that was
-    caused by one, so that no third follows.
+    caused by one, so that no third follows, and ``partial`` one that does
+    not name all feeds of the sender.
     """
 
     heads: list[Head] = []
     answer: bool = False
+    partial: bool = False
 
 
 class FeedUpdate(Message):
