--- a/packages/hemlockreel/tests/test_configuration_region.py
+++ b/packages/hemlockreel/tests/test_configuration_region.py
@@ -122,6 +122,15 @@
     assert change_within_bound(made) < BOUND_S
 
 
+def test_watches_that_stay_silent():
+    made = make()
+    made.frozen_watches = True
+    for weight in range(2, 8):
+        made.run(1.3)
+        value = {"weight": float(weight)}
+        assert change_within_bound(made, value) < BOUND_S
+
+
 def test_both_readers_silent():
     made = make()
     made.silent.update(reader_numbers(made))
@@ -147,8 +156,9 @@
 
 def test_new_host_does_not_serve_by_a_stale_read():
     made = make()
+    old = made.store.revision
     change_within_bound(made)
-    made.store.faults["stale_reads"] = 3
+    made.store.faults["stale_reads"] = made.store.revision - old
     made.kill(3)
     made.start(3)
     made.know_all()
