--- a/packages/hemlockreel-daemon/hemlockreel_daemon/calls.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/calls.py
@@ -216,7 +216,7 @@
         job = self._job
         if self._box.stopped is not None:
             return outcomes.not_run(self._box.stopped.reason)
-        box = None if self._claimed else self._box
+        box = self._box if self._send_until is None else None
         with self._daemon.traces.span(
             "call",
             job.traceparent,
--- a/packages/hemlockreel/hemlockreel/core.py
+++ b/packages/hemlockreel/hemlockreel/core.py
@@ -17,9 +17,13 @@
 from . import entry
 from . import feeds
 from . import hosts
+from . import loads
 from . import membership
 from . import owner
 from . import probes
+from . import registration
+from . import renewal
+from . import takeover
 
 # Membership goes first, so that the others see the table after this event.
 CONTROLLERS = (
@@ -30,7 +34,11 @@
     configuration_reader,
     configuration,
     configuration_status,
+    renewal,
+    takeover,
     owner,
+    loads,
+    registration,
     entry,
     claims,
     drain,
