Let the tests of owners and of a stale read use the store's stand-in

The fabric of the owners' tests answered the old form of the configuration and fell to 'not configured'; it now has a store of its own.

The wait for a peer was not put to the test, as the peer answered first; now it is, and fails when off.

--- a/packages/hemlockreel/tests/test_configuration_region.py
+++ b/packages/hemlockreel/tests/test_configuration_region.py
@@ -159,6 +159,7 @@
     old = made.store.revision
     change_within_bound(made)
     made.store.faults["stale_reads"] = made.store.revision - old
+    made.message_delay_s = 0.1  # the store answers before any peer
     made.kill(3)
     made.start(3)
     made.know_all()
--- a/standins/hemlockreel_standins/fleet_fabric.py
+++ b/standins/hemlockreel_standins/fleet_fabric.py
@@ -14,6 +14,8 @@
 from hemlockreel import replicas
 
 from . import fabric
+from . import store
+from . import store_calls
 
 ZONES = ("trondheim-a", "trondheim-b", "orkanger")
 POOL = {"service": "lesar", "model": "lesar-7b"}
@@ -36,6 +38,9 @@
     def __init__(self, daemons: int = 4, seed: int = 1):
         self.fabric = fabric.Fabric(seed)
         self.fabric.call = self._call
+        self.store = store.Store()
+        path = "/v1/objects/modelpools/lesar"
+        self._store(actions.CallStore("operator", "PUT", path, POOL))
         self.held: dict[str, set[str]] = {}
         self.drop_cancels: set[str] = set()
         self.silent: set[str] = set()
@@ -139,16 +144,10 @@
         return None
 
     def _store(self, action: actions.CallStore) -> Any:
-        if action.path.startswith("/v1/objects?kinds="):
-            item = {
-                "kind": "modelpools",
-                "name": "lesar",
-                "version": 3,
-                "value": POOL,
-            }
-            body = {"revision": 3, "items": [item]}
+        if action.path.startswith("/v1/watch"):
+            body = {"revision": self.store.revision, "events": []}
             return events.StoreAnswered(action.call_id, 200, body)
-        return events.StoreAnswered(action.call_id, 503, {})
+        return store_calls.perform(self.store, action)
 
     def _engine(self, at: str, action: actions.CallEngine) -> Any:
         address = action.address
--- a/standins/hemlockreel_standins/region.py
+++ b/standins/hemlockreel_standins/region.py
@@ -36,7 +36,7 @@
     configuration_status,
 )
 TICK_S = 0.1
-DELAY_S = 0.002  # one way, between daemons and to the platform
+DELAY_S = 0.002  # one way to the platform
 WATCH_STEP_S = 0.02
 
 
@@ -53,6 +53,7 @@
         self.listed: tuple[replicas.Replica, ...] = ()
         self.now = 0.0
         self.lost = 0.0
+        self.message_delay_s = 0.002
         self.silent: set[int] = set()
         self.frozen_watches = False
         self.bytes: Counter = Counter()
@@ -152,7 +153,7 @@
             if self.rng.random() >= self.lost:
                 to = number_of(action.to)
                 message = messages.decode(data)
-                self._at(DELAY_S, self._deliver, 0, to, message)
+                self._at(self.message_delay_s, self._deliver, 0, to, message)
         elif isinstance(action, actions.ListHosts):
             self.calls["hosts"] += 1
             listed = None if number in self.silent else self.listed
