Let the fabric count callers, as a daemon does after each tick

Ruled out: a missing handover; the owner was idle. Change: the fabric posts a count of none after each tick. Conclusion: mended.

--- a/standins/hemlockreel_standins/fabric.py
+++ b/standins/hemlockreel_standins/fabric.py
@@ -97,6 +97,8 @@
     def _step(self, host: str, event: Any) -> None:
         if isinstance(event, events.Tick):
             self._push(self.now + TICK_S, host, event)
+            # No workers carry requests here, so none is ever counted.
+            self._push(self.now, host, events.CallersCounted(0))
         for action in core.step(self.boards[host], event, self.now):
             if isinstance(action, actions.Send):
                 self._send(host, action)
