Let one controller of a region order engines, under a lease in the store

Cause: nothing carried out rollouts or changes of role, and two daemons that did would order the same engine. Ruled out: the owner of each shard as its controller (max_unavailable spans shards, and ownership is soft).

The holder of the lease object may give orders for 8 s after the sending of a write that succeeded; a successor sees the object unchanged for 12 s first. The object's version is the fencing number. Owners report their shards every 5 s; the controller answers with the replicas that are to get no new work and orders those that are empty, one order at a time, saying what state it relies on. Status objects tell the progress, ERROR with a reason when engines refuse.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/engine_client.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/engine_client.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import json
+import time
 from typing import Any
 
 import msgspec
@@ -36,15 +37,16 @@
 
 def control(action: actions.CallEngine) -> events.EngineAnswered:
     """Makes a call of the control path; status 0 when none came."""
+    if action.not_after is not None and time.monotonic() > action.not_after:
+        return _unanswered(action)
     method = "GET" if action.body is None else "POST"
     path = CONTROL_PATHS[action.operation] + action.query
     answer = http_calls.call_json(
         action.address, method, path, action.body, None, action.timeout_s
     )
     if isinstance(answer, http_calls.Failed):
-        status, body = 0, {}
-    else:
-        status, body = answer[:2]
+        return _unanswered(action)
+    status, body = answer[:2]
     return events.EngineAnswered(
         action.call_id, action.address, action.operation, status, body
     )
@@ -64,6 +66,12 @@
     return answer[1].get("held") is False
 
 
+def _unanswered(action: actions.CallEngine) -> events.EngineAnswered:
+    return events.EngineAnswered(
+        action.call_id, action.address, action.operation, 0, {}
+    )
+
+
 def prefill(
     address: str,
     body: dict[str, Any],
--- a/packages/hemlockreel/hemlockreel/actions.py
+++ b/packages/hemlockreel/hemlockreel/actions.py
@@ -52,7 +52,8 @@
     """Calls a model engine; answered by ``events.EngineAnswered``.
 
     ``operation`` is ``load``, ``cancel``, ``requests``, ``cache/events`` or
-    ``orders``; a call with a ``body`` is a POST.
+    ``orders``; a call with a ``body`` is a POST. After ``not_after``, on the
+    clock of the core, the call is not made any more.
     """
 
     call_id: str
@@ -61,6 +62,7 @@
     body: dict[str, Any] | None = None
     query: str = ""
     timeout_s: float = 1.0
+    not_after: float | None = None
 
 
 class Count(NamedTuple):
--- a/packages/hemlockreel/hemlockreel/core.py
+++ b/packages/hemlockreel/hemlockreel/core.py
@@ -14,12 +14,15 @@
 from . import drain
 from . import entry
 from . import hosts
+from . import leader
 from . import loads
 from . import membership
 from . import owner
 from . import probes
+from . import region
 from . import registration
 from . import renewal
+from . import shard_reports
 from . import takeover
 
 # Membership goes first, so that the others see the table after this event.
@@ -32,6 +35,9 @@
     takeover,
     owner,
     loads,
+    shard_reports,
+    leader,
+    region,
     registration,
     entry,
     claims,
--- /dev/null
+++ b/packages/hemlockreel/hemlockreel/leader.py
@@ -0,0 +1,195 @@
+"""The lease of a region's controller, kept in the store.
+
+One daemon at a time may give orders to engines. It holds the object
+``leases/REGION``, which it writes again and again on the condition that
+nobody else wrote it. A successor first sees the object unchanged for longer
+than the holder believes in it. The object's version rises with each write and
+is the fencing number of orders.
+"""
+
+from collections.abc import Iterable
+import functools
+from typing import Any
+
+from . import actions
+from . import board as boards
+from . import events
+from . import membership
+from . import rendezvous
+
+RENEW_PERIOD_S = 2.0
+HOLD_S = 8.0  # from the sending of a write that succeeded
+WAIT_S = 12.0  # how long a successor sees no write before its own
+POLL_PERIOD_S = 1.0
+CALL_TIMEOUT_S = 1.5
+CALL = "leader"
+
+
+class State:
+    """What this daemon knows of the lease.
+
+    ``until`` is the time up to which it may give orders, ``seen_at`` when it
+    first saw the present version of somebody else's lease.
+    """
+
+    def __init__(self):
+        self.version = 0
+        self.until = 0.0
+        self.seen_version = 0
+        self.seen_at = 0.0
+        self.next_call = 0.0
+        self.call = 0
+        self.sent: tuple[int, str, float] | None = None
+
+
+def time_left(board: boards.Board, now: float) -> float:
+    """Returns for how many seconds this daemon may still give orders."""
+    state = board.state(State)
+    return max(0.0, state.until - now) if state.version else 0.0
+
+
+def fence(board: boards.Board) -> int:
+    """Returns the fencing number of orders given now."""
+    return board.state(State).version
+
+
+def candidate(board: boards.Board) -> str:
+    """Returns the member that should control the region."""
+    members = membership.reachable(board)
+    usable = [member.host for member in members if not member.draining]
+    region = board.identity.region
+    ranked = rendezvous.rank(f"controller/{region}", usable)
+    return ranked[0] if ranked else ""
+
+
+def step_down(board: boards.Board, reason: str) -> Iterable[actions.Action]:
+    """Gives no orders any more, as another daemon may."""
+    state = board.state(State)
+    if state.version:
+        yield actions.Log("controller_lost", {"reason": reason})
+    state.version = 0
+    state.until = 0.0
+
+
+@functools.singledispatch
+def handle(
+    event: Any, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    """Handles events of the lease; all others yield nothing."""
+    return ()
+
+
+@handle.register
+def _tick(
+    event: events.Tick, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    state = board.state(State)
+    if state.version and state.until <= now:
+        yield from step_down(board, "the lease lapsed")
+    if candidate(board) != board.identity.host:
+        yield from _resign(board)
+        return
+    if now < state.next_call:
+        return
+    if state.version:
+        state.next_call = now + RENEW_PERIOD_S
+        yield _write(board, state.version, now)
+    else:
+        state.next_call = now + POLL_PERIOD_S
+        yield _call(board, "GET", now)
+
+
+def _resign(board: boards.Board) -> Iterable[actions.Action]:
+    """Frees the lease, so that the successor need not wait."""
+    state = board.state(State)
+    if not state.version:
+        return
+    yield actions.CallStore(
+        f"{CALL}/resigned",
+        "DELETE",
+        _path(board),
+        expected=state.version,
+        timeout_s=CALL_TIMEOUT_S,
+    )
+    yield from step_down(board, "another member is to control the region")
+
+
+def _path(board: boards.Board) -> str:
+    return f"/v1/objects/leases/{board.identity.region}"
+
+
+def _write(
+    board: boards.Board, expected: int, now: float
+) -> actions.CallStore:
+    value = {"holder": board.identity.host, "epoch": board.identity.epoch}
+    return _call(board, "PUT", now, value, expected)
+
+
+def _call(
+    board: boards.Board,
+    method: str,
+    now: float,
+    value: dict[str, Any] | None = None,
+    expected: int | None = None,
+) -> actions.CallStore:
+    state = board.state(State)
+    state.call += 1
+    # Only the answer to the last call counts, with the time it was sent.
+    state.sent = (state.call, method, now)
+    return actions.CallStore(
+        f"{CALL}/{state.call}",
+        method,
+        _path(board),
+        value,
+        expected,
+        CALL_TIMEOUT_S,
+    )
+
+
+@handle.register
+def _answered(
+    event: events.StoreAnswered, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    state = board.state(State)
+    if state.sent is None or event.call_id != f"{CALL}/{state.sent[0]}":
+        return
+    _, method, sent_at = state.sent
+    state.sent = None
+    if method == "PUT":
+        yield from _written(board, event, sent_at)
+    elif event.status == 404:
+        yield _write(board, 0, now)
+    elif event.status == 200:
+        yield from _read(board, event.body["object"], now)
+
+
+def _written(
+    board: boards.Board, event: events.StoreAnswered, sent_at: float
+) -> Iterable[actions.Action]:
+    state = board.state(State)
+    if event.status in (200, 201):
+        if not state.version:
+            yield actions.Log("controller", {"region": board.identity.region})
+        state.version = event.body["object"]["version"]
+        state.until = sent_at + HOLD_S
+    elif event.status == 412:
+        # Either somebody else has it, or the answer to a write was lost: the
+        # next look tells them apart.
+        yield from step_down(board, "the lease was written by another")
+
+
+def _read(
+    board: boards.Board, found: dict[str, Any], now: float
+) -> Iterable[actions.Action]:
+    """Takes the lease over when its holder is surely over."""
+    state = board.state(State)
+    version = found["version"]
+    own = {"holder": board.identity.host, "epoch": board.identity.epoch}
+    if found["value"] == own:
+        yield _write(board, version, now)
+        return
+    if version != state.seen_version:
+        state.seen_version = version
+        state.seen_at = now
+    elif now - state.seen_at >= WAIT_S:
+        yield _write(board, version, now)
--- a/packages/hemlockreel/hemlockreel/leases.py
+++ b/packages/hemlockreel/hemlockreel/leases.py
@@ -6,6 +6,7 @@
 late heartbeat nor a claim brings it back.
 """
 
+import collections
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -98,6 +99,13 @@
         grant_ids = self._by_request.get(request_id, ())
         return any(grant_id in self._held for grant_id in grant_ids)
 
+    def count_at(self) -> collections.Counter[str]:
+        """Returns how many grants stand at each replica, ending ones too."""
+        counts: collections.Counter[str] = collections.Counter()
+        for held in [*self._held.values(), *self._ending.values()]:
+            counts.update({held.decision.replica, held.decision.prefill})
+        return counts
+
     def renew(self, entry: Key, now: float) -> None:
         """Extends the lease of an entry after a sign of life."""
         lease = self._by_entry.get(entry)
--- a/packages/hemlockreel/hemlockreel/loads.py
+++ b/packages/hemlockreel/hemlockreel/loads.py
@@ -18,12 +18,13 @@
 
 
 class State:
-    """When engines are read next, and the last cache event of each."""
+    """When engines are read next, and what they last told."""
 
     def __init__(self):
         self.next_load = 0.0
         self.next_cache = 0.0
         self.cache_seq: dict[str, int] = {}
+        self.last: dict[str, dict[str, Any]] = {}
 
 
 @functools.singledispatch
@@ -53,7 +54,11 @@
     state = board.state(State)
     if now >= state.next_load:
         state.next_load = now + LOAD_PERIOD_S
-        for shard, replica in _watched(board):
+        watched = _watched(board)
+        addresses = {replica.address for _, replica in watched}
+        for address in set(state.last) - addresses:
+            del state.last[address]
+        for shard, replica in watched:
             yield actions.CallEngine(f"load/{shard}", replica.address, "load")
     if now >= state.next_cache:
         state.next_cache = now + CACHE_PERIOD_S
@@ -103,6 +108,7 @@
         return
     shard = event.call_id.partition("/")[2]
     if event.operation == "load":
+        board.state(State).last[event.address] = event.body
         book = grants.open_ledger(board, shard)
         if isinstance(book, ledger.Ledger):
             book.set_load(event.address, event.body, now)
--- a/packages/hemlockreel/hemlockreel/messages.py
+++ b/packages/hemlockreel/hemlockreel/messages.py
@@ -284,6 +284,38 @@
     replicas: list[str]
 
 
+# Control of a region
+
+
+class ReplicaReport(msgspec.Struct, frozen=True, array_like=True):
+    """What an owner knows of an engine; ``granted`` counts its grants."""
+
+    address: str
+    role: str
+    version: str
+    adapters: list[str]
+    granted: int
+
+
+class ShardReport(Message):
+    """An owner tells the region's controller how a shard fares.
+
+    The demands are in busy engines, see :mod:`hemlockreel.balance`.
+    """
+
+    shard: str
+    replicas: list[ReplicaReport]
+    prefill_demand: float = 0.0
+    decode_demand: float = 0.0
+
+
+class ShardPlan(Message):
+    """The controller names the engines that are to get no new work."""
+
+    shard: str
+    retiring: list[str]
+
+
 AnyMessage = (
     Ping
     | PingRequest
@@ -311,6 +343,8 @@
     | Moved
     | AskElsewhere
     | Abandoned
+    | ShardReport
+    | ShardPlan
 )
 
 _decoder = msgspec.msgpack.Decoder(AnyMessage)
--- /dev/null
+++ b/packages/hemlockreel/hemlockreel/region.py
@@ -0,0 +1,298 @@
+"""The controller of a region: changes roles and versions of engines.
+
+It is level-triggered: each report of a shard is compared with what is
+declared, and at most one order for each replica follows. Only the holder of
+the region's lease gives orders, each with the lease's fencing number and only
+while the lease outlasts the order. See docs/design/orders.md.
+"""
+
+from collections.abc import Iterable
+import functools
+from typing import Any
+from typing import NamedTuple
+
+from . import actions
+from . import balance
+from . import board as boards
+from . import changes
+from . import configuration
+from . import events
+from . import leader
+from . import messages
+from . import objects
+from . import shards
+
+ORDER_TIMEOUT_S = 2.0
+LEASE_MARGIN_S = 1.0  # lease time left above the timeout of an order
+ORDER_AGAIN_S = 6.0  # the next reports tell first whether it was done
+MAX_FAILURES = 3  # failures in a row after which a rollout is in error
+FORGET_S = 20.0  # a shard without reports is not counted any more
+STATUS_PERIOD_S = 2.0
+CALL = "orders"
+
+
+class Reported(NamedTuple):
+    """The last report of a shard and when it came."""
+
+    report: messages.ShardReport
+    at: float
+
+
+class State:
+    """What the controller was told, and the changes under way."""
+
+    def __init__(self):
+        self.reports: dict[str, Reported] = {}
+        self.changes: dict[str, changes.Change] = {}
+        self.reasons: dict[str, str] = {}
+        self.written: dict[str, dict[str, Any]] = {}
+        self.next_status = 0.0
+
+
+@functools.singledispatch
+def handle(
+    event: Any, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    """Handles events of the controller; all others yield nothing."""
+    return ()
+
+
+@handle.register
+def _reported(
+    event: messages.ShardReport, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    if not leader.time_left(board, now):
+        return
+    state = board.state(State)
+    state.reports[event.shard] = Reported(event, now)
+    found = _declared(board, event.shard)
+    if found is None:
+        return
+    pool, rollout = found
+    chosen = _choose(board, event, pool, rollout)
+    for address, change in list(state.changes.items()):
+        if change.shard == event.shard and address not in chosen:
+            del state.changes[address]
+            state.reasons.pop(address, None)
+    for replica in event.replicas:
+        change = chosen.get(replica.address)
+        if change is not None:
+            if change.announced_to == event.sender:
+                order = changes.next_order(replica, change, rollout)
+                yield from _order(board, replica, change, order, now)
+            else:
+                change = change._replace(announced_to=event.sender)
+                state.changes[replica.address] = change
+    yield _plan(board, event, sorted(chosen))
+
+
+def _declared(
+    board: boards.Board, shard: str
+) -> tuple[objects.ModelPool, objects.Rollout | None] | None:
+    """Returns the pool of a shard and the rollout for it."""
+    found = configuration.current(board)
+    if found is None:
+        return None
+    for name, pool in found.modelpools.items():
+        if pool.service == shards.service_of(shard):
+            return pool, _rollout_of(found, name)
+    return None
+
+
+def _rollout_of(
+    found: configuration.Configuration, pool: str
+) -> objects.Rollout | None:
+    """Returns the rollout of a pool, the first by name if there are two."""
+    for _, rollout in sorted(found.rollouts.items()):
+        if rollout.pool == pool:
+            return rollout
+    return None
+
+
+def _choose(
+    board: boards.Board,
+    event: messages.ShardReport,
+    pool: objects.ModelPool,
+    rollout: objects.Rollout | None,
+) -> dict[str, changes.Change]:
+    state = board.state(State)
+    service = shards.service_of(event.shard)
+    mine = {
+        address: change
+        for address, change in state.changes.items()
+        if change.shard == event.shard
+    }
+    elsewhere = sum(
+        shards.service_of(change.shard) == service
+        for change in state.changes.values()
+    ) - len(mine)
+    proposal = None
+    if pool.balance_roles:
+        shape = changes.shape(event, mine)
+        proposal = balance.propose(shape, pool.min_prefill, pool.min_decode)
+    limit = 0 if rollout is None else rollout.max_unavailable
+    room = limit - elsewhere - len(mine)
+    return changes.choose(
+        event.shard, event.replicas, mine, proposal, rollout, room
+    )
+
+
+def _plan(
+    board: boards.Board, event: messages.ShardReport, retiring: list[str]
+) -> actions.Send:
+    plan = messages.ShardPlan(
+        sender=board.identity.host,
+        epoch=board.identity.epoch,
+        shard=event.shard,
+        retiring=retiring,
+    )
+    return actions.Send(event.sender, plan)
+
+
+def _order(
+    board: boards.Board,
+    replica: messages.ReplicaReport,
+    change: changes.Change,
+    order: changes.Order | None,
+    now: float,
+) -> Iterable[actions.Action]:
+    """Orders an engine that is empty, if the lease outlasts the order."""
+    if order is None or replica.granted:
+        return
+    ordered_at = change.ordered_at
+    if ordered_at is not None and now < ordered_at + ORDER_AGAIN_S:
+        return
+    if leader.time_left(board, now) < ORDER_TIMEOUT_S + LEASE_MARGIN_S:
+        return
+    state = board.state(State)
+    state.changes[replica.address] = change._replace(ordered_at=now)
+    fence = leader.fence(board)
+    body = {
+        "order_id": f"{fence}/{replica.address}/{order.order}/{order.value}",
+        "fence": fence,
+        "order": order.order,
+        "value": order.value,
+        "expected": order.expected,
+    }
+    yield actions.Count("orders", 1, (order.order,))
+    yield actions.CallEngine(
+        CALL,
+        replica.address,
+        CALL,
+        body,
+        timeout_s=ORDER_TIMEOUT_S,
+        not_after=now + LEASE_MARGIN_S,
+    )
+
+
+@handle.register
+def _ordered(
+    event: events.EngineAnswered, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    if event.operation != CALL:
+        return
+    state = board.state(State)
+    change = state.changes.get(event.address)
+    reason = _failure(event)
+    if reason == "stale_fence":
+        yield from leader.step_down(board, reason)
+    if change is None:
+        return
+    if not reason:
+        state.reasons.pop(event.address, None)
+        state.changes[event.address] = change._replace(failures=0)
+        return
+    yield actions.Count("order_failures", 1, (reason,))
+    state.reasons[event.address] = reason
+    failures = change.failures + 1
+    state.changes[event.address] = change._replace(failures=failures)
+
+
+def _failure(event: events.EngineAnswered) -> str:
+    """Returns why an order was not done, empty if it was."""
+    if event.status == 200:
+        return ""
+    if event.status == 0:
+        return "no_answer"
+    return str(event.body.get("error", f"status_{event.status}"))
+
+
+# Status
+
+
+@handle.register
+def _tick(
+    event: events.Tick, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    state = board.state(State)
+    if not leader.time_left(board, now):
+        # The next holder starts from the reports of owners.
+        state.reports.clear()
+        state.changes.clear()
+        state.reasons.clear()
+        state.written.clear()
+        return
+    if now < state.next_status:
+        return
+    state.next_status = now + STATUS_PERIOD_S
+    for shard, (_, at) in list(state.reports.items()):
+        if at + FORGET_S < now:
+            del state.reports[shard]
+    found = configuration.current(board)
+    for name, rollout in found.rollouts.items() if found else ():
+        value = _describe(board, found, rollout)
+        if state.written.get(name) != value:
+            state.written[name] = value
+            where = board.identity.region
+            path = f"/v1/objects/status/rollouts-{name}-{where}"
+            call_id = f"rollouts/{name}"
+            yield actions.CallStore(call_id, "PUT", path, value)
+
+
+@handle.register
+def _written(
+    event: events.StoreAnswered, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    kind, _, name = event.call_id.partition("/")
+    if kind == "rollouts" and event.status not in (200, 201):
+        board.state(State).written.pop(name, None)
+    return ()
+
+
+def _describe(
+    board: boards.Board,
+    found: configuration.Configuration,
+    rollout: objects.Rollout,
+) -> dict[str, Any]:
+    """Returns the status of a rollout."""
+    value = {"version": rollout.version, "region": board.identity.region}
+    pool = found.modelpools.get(rollout.pool)
+    if pool is None:
+        reason = f"the pool {rollout.pool!r} does not exist"
+        return {**value, "state": "ERROR", "reason": reason}
+    if _rollout_of(found, rollout.pool) is not rollout:
+        reason = f"another rollout changes the pool {rollout.pool!r}"
+        return {**value, "state": "ERROR", "reason": reason}
+    state = board.state(State)
+    told = [
+        replica
+        for shard, (report, _) in state.reports.items()
+        if shards.service_of(shard) == pool.service
+        for replica in report.replicas
+    ]
+    left = [r for r in told if changes.next_order(r, None, rollout)]
+    changing = [r.address for r in told if r.address in state.changes]
+    value["total"] = len(told)
+    value["updated"] = len(told) - len(left)
+    value["unavailable"] = len(changing)
+    failing = [
+        f"{address}: {state.reasons[address]}"
+        for address in sorted(changing)
+        if state.changes[address].failures >= MAX_FAILURES
+    ]
+    if failing:
+        return {**value, "state": "ERROR", "reason": failing[0]}
+    reason = "" if told else "no replica has been reported yet"
+    if told and not left:
+        return {**value, "state": "CONVERGED", "reason": reason}
+    return {**value, "state": "CONVERGING", "reason": reason}
--- /dev/null
+++ b/packages/hemlockreel/hemlockreel/shard_reports.py
@@ -0,0 +1,123 @@
+"""The owner's side of the control of a region.
+
+An owner reports how its shards fare to the controller and gives no new work
+to the replicas that the controller wants to change. A plan that is not
+repeated lapses, so that a controller that dies leaves no replica idle.
+"""
+
+from collections.abc import Iterable
+import functools
+from typing import Any
+
+from . import actions
+from . import board as boards
+from . import configuration
+from . import events
+from . import grants
+from . import leader
+from . import ledger
+from . import loads
+from . import messages
+from . import shards
+
+REPORT_PERIOD_S = 5.0
+PLAN_S = 15.0
+
+
+class State:
+    """When the next report is due, and the plans in force by shard."""
+
+    def __init__(self):
+        self.next_report = 0.0
+        self.plans: dict[str, float] = {}
+
+
+@functools.singledispatch
+def handle(
+    event: Any, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    """Handles events of reports; all others yield nothing."""
+    return ()
+
+
+@handle.register
+def _tick(
+    event: events.Tick, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    state = board.state(State)
+    for shard, until in list(state.plans.items()):
+        if until <= now:
+            del state.plans[shard]
+            _retire(board, shard, frozenset())
+    if now < state.next_report:
+        return
+    state.next_report = now + REPORT_PERIOD_S
+    controller = leader.candidate(board)
+    for report in _reports(board, now):
+        yield actions.Send(controller, report)
+
+
+def _reports(
+    board: boards.Board, now: float
+) -> Iterable[messages.ShardReport]:
+    """Yields the reports of the owned shards that may need a change."""
+    managed = _managed(board)
+    counts = board.state(grants.State).leases.count_at()
+    last = board.state(loads.State).last
+    for shard, members in loads.owned(board).items():
+        if shards.service_of(shard) not in managed:
+            continue
+        told = [
+            messages.ReplicaReport(
+                replica.address,
+                last[replica.address].get("role", replica.role.value),
+                last[replica.address].get("version", ""),
+                last[replica.address].get("adapters", []),
+                counts[replica.address],
+            )
+            for replica in members
+            if replica.address in last and not replica.leaving
+        ]
+        book = board.state(grants.State).ledgers.get(shard)
+        demands = (0.0, 0.0)
+        if isinstance(book, ledger.Ledger):
+            shape = book.shape(now)
+            demands = (shape.prefill_demand, shape.decode_demand)
+        yield messages.ShardReport(
+            sender=board.identity.host,
+            epoch=board.identity.epoch,
+            shard=shard,
+            replicas=told,
+            prefill_demand=demands[0],
+            decode_demand=demands[1],
+        )
+
+
+def _managed(board: boards.Board) -> set[str]:
+    """Returns the services whose roles or versions are controlled."""
+    found = configuration.current(board)
+    if found is None:
+        return set()
+    rolled = {rollout.pool for rollout in found.rollouts.values()}
+    return {
+        pool.service
+        for name, pool in found.modelpools.items()
+        if pool.balance_roles or name in rolled
+    }
+
+
+@handle.register
+def _planned(
+    event: messages.ShardPlan, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    board.state(State).plans[event.shard] = now + PLAN_S
+    _retire(board, event.shard, frozenset(event.retiring))
+    return ()
+
+
+def _retire(
+    board: boards.Board, shard: str, addresses: frozenset[str]
+) -> None:
+    book = board.state(grants.State).ledgers.get(shard)
+    if isinstance(book, ledger.Ledger):
+        book.set_retiring(addresses)
--- a/standins/hemlockreel_standins/fleet_fabric.py
+++ b/standins/hemlockreel_standins/fleet_fabric.py
@@ -33,13 +33,19 @@
     does not reach.
     """
 
-    def __init__(self, daemons: int = 4, seed: int = 1):
+    def __init__(
+        self,
+        daemons: int = 4,
+        seed: int = 1,
+        pool: dict[str, Any] | None = None,
+    ):
         self.fabric = fabric.Fabric(seed)
         self.fabric.call = self._call
         self.held: dict[str, set[str]] = {}
         self.drop_cancels: set[str] = set()
         self.silent: set[str] = set()
         self.severed: set[tuple[str, str]] = set()
+        self.pool = {**POOL, **(pool or {})}
         self.told: dict[str, Any] = {}
         self.working: dict[str, messages.Grant] = {}
         self.cancelled: list[tuple[float, str]] = []
@@ -144,7 +150,7 @@
                 "kind": "modelpools",
                 "name": "lesar",
                 "version": 3,
-                "value": POOL,
+                "value": self.pool,
             }
             body = {"revision": 3, "items": [item]}
             return events.StoreAnswered(action.call_id, 200, body)
--- /dev/null
+++ b/standins/hemlockreel_standins/region_fabric.py
@@ -0,0 +1,125 @@
+"""A fleet whose store holds leases and whose engines take orders."""
+
+from typing import Any
+
+from hemlockreel import actions
+from hemlockreel import events
+
+from . import fleet_fabric
+
+ROLLOUT = {"pool": "lesar", "version": "2"}
+
+
+class Region(fleet_fabric.Fleet):
+    """Daemons, a store with conditional writes, and engines with a state.
+
+    ``fencing`` engines refuse an order with an old fencing number.
+    ``lose_orders`` and ``lose_answers`` count orders that are lost, or done
+    without an answer; ``lose_writes`` counts writes whose answer is lost.
+    ``unknown_version`` is one that no engine can load.
+    """
+
+    def __init__(
+        self,
+        rollout: dict[str, Any] | None = None,
+        seed: int = 1,
+        pool: dict[str, Any] | None = None,
+    ):
+        self.objects: dict[str, tuple[int, Any]] = {}
+        self.revision = 10
+        self.rollout = {**ROLLOUT, **(rollout or {})}
+        self.store_down = False
+        self.lose_writes = 0
+        self.fencing = True
+        self.lose_orders = 0
+        self.lose_answers = 0
+        self.unknown_version = ""
+        self.states: dict[str, dict[str, Any]] = {}
+        self.orders: list[tuple[float, str, str, dict[str, Any], int]] = []
+        super().__init__(seed=seed, pool=pool)
+
+    def versions(self) -> list[str]:
+        """Returns the versions that the engines run."""
+        return [self.states[at]["version"] for at in self.held]
+
+    def holder(self) -> str:
+        """Returns who holds the region's lease by the store."""
+        found = self.objects.get("/v1/objects/leases/midt-norge")
+        return "" if found is None else found[1]["holder"]
+
+    def status(self) -> dict[str, Any]:
+        """Returns the status of the rollout."""
+        path = "/v1/objects/status/rollouts-new-midt-norge"
+        return self.objects.get(path, (0, {}))[1]
+
+    def do_order(self, at: str, action: actions.CallEngine) -> Any:
+        """Lets an engine answer an order of the daemon ``at``."""
+        body = action.body
+        state = self._state(action.address)
+        if self.fencing and body["fence"] < state["fence"]:
+            return self._answer(action, 409, {"error": "stale_fence"})
+        if any(state[key] != value for key, value in body["expected"].items()):
+            return self._answer(action, 412, {"error": "unexpected_state"})
+        if body["value"] == self.unknown_version:
+            return self._answer(action, 409, {"error": "unknown_version"})
+        state["fence"] = max(state["fence"], body["fence"])
+        field = {"set_role": "role", "load_version": "version"}
+        state[field[body["order"]]] = body["value"]
+        held = len(self.held[action.address])
+        now = self.fabric.now
+        self.orders.append((now, at, action.address, body, held))
+        return self._answer(action, 200, {"done": True})
+
+    def _state(self, address: str) -> dict[str, Any]:
+        roles = {replica.address: replica.role for replica in self.replicas}
+        state = {"role": roles[address].value, "version": "1", "fence": 0}
+        return self.states.setdefault(address, {**state, "adapters": []})
+
+    def _engine(self, at: str, action: actions.CallEngine) -> Any:
+        if action.operation == "orders":
+            if self.lose_orders:
+                self.lose_orders -= 1
+                return self._answer(action, 0, {})
+            answer = self.do_order(at, action)
+            if self.lose_answers:
+                self.lose_answers -= 1
+                return self._answer(action, 0, {})
+            return answer
+        answer = super()._engine(at, action)
+        if action.operation == "load" and answer.status == 200:
+            answer.body.update(self._state(action.address))
+        return answer
+
+    def _store(self, action: actions.CallStore) -> Any:
+        if self.store_down:
+            return events.StoreAnswered(action.call_id, 503, {})
+        if "?kinds=" in action.path or not action.path.startswith(
+            ("/v1/objects/leases", "/v1/objects/status")
+        ):
+            return self._configured(super()._store(action))
+        status, body = self._change(action)
+        if action.method != "GET" and self.lose_writes:
+            self.lose_writes -= 1
+            status, body = 0, {}
+        return events.StoreAnswered(action.call_id, status, body)
+
+    def _configured(self, answer: events.StoreAnswered) -> Any:
+        if "items" in answer.body:
+            item = {"kind": "rollouts", "name": "new", "version": 3}
+            answer.body["items"].append({**item, "value": self.rollout})
+        return answer
+
+    def _change(self, action: actions.CallStore) -> tuple[int, Any]:
+        version, value = self.objects.get(action.path, (0, None))
+        found = {"version": version, "value": value}
+        if action.method == "GET":
+            return (200, {"object": found}) if version else (404, {})
+        if action.expected is not None and action.expected != version:
+            return 412, {"object": found if version else None}
+        self.revision += 1
+        if action.method == "DELETE":
+            self.objects.pop(action.path, None)
+            return 200, {}
+        self.objects[action.path] = (self.revision, action.value)
+        found = {"version": self.revision, "value": action.value}
+        return 200 if version else 201, {"object": found}
