--- a/packages/hemlockreel/tests/test_entry.py
+++ b/packages/hemlockreel/tests/test_entry.py
@@ -9,21 +9,9 @@
 POOL = {"service": "lesar", "model": "lesar-7b", "max_output_tokens": 40}
 
 
-def configured(*items, revision=3):
-    body = {
-        "revision": revision,
-        "items": [
-            {"kind": kind, "name": name, "version": revision, "value": value}
-            for kind, name, value in items
-        ],
-    }
-    return events.StoreAnswered("configuration", 200, body)
-
-
-def make_entry(*items):
+def make_entry():
     made = helper.make_board()
-    items = items or (("modelpools", "lesar", POOL),)
-    helper.run(made, configured(*items), 0.0)
+    helper.configure(made, modelpools={"lesar": POOL})
     hosts = helper.listed(replicas.Role.PREFILL, replicas.Role.DECODE)
     helper.run(made, hosts, 0.0)
     return made
@@ -46,14 +34,8 @@
 def test_worker_and_owner_agree_on_the_length_after_a_change():
     made = make_entry()
     # The worker took its limit before the pool's was lowered.
-    helper.run(
-        made,
-        configured(
-            ("modelpools", "lesar", {**POOL, "max_output_tokens": 10}),
-            revision=4,
-        ),
-        0.1,
-    )
+    lowered = {**POOL, "max_output_tokens": 10}
+    helper.configure(made, modelpools={"lesar": lowered})
     found = core.step(made, asked(max_tokens=30), 0.2)
     assert [ask.output_tokens for ask in sent(found, messages.Ask)] == [30]
 
