--- a/packages/hemlockreel-daemon/hemlockreel_daemon/daemon.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/daemon.py
@@ -108,6 +108,10 @@
         else:
             self._peers.send(action.to, action.message)
 
+    def redial(self, host: str) -> None:
+        """Sends to a peer over a new connection from now on."""
+        self._peers.redial(host)
+
     def call_store(self, action: actions.CallStore) -> None:
         """Calls the store on a thread of its own."""
         # A watch is held for long and must not delay any other call.
@@ -150,6 +154,11 @@
     daemon.send(action)
 
 
+@perform.register
+def _redial(action: actions.Redial, daemon: Daemon) -> None:
+    daemon.redial(action.to)
+
+
 @perform.register
 def _tell(action: actions.Tell, daemon: Daemon) -> None:
     daemon.mailboxes.tell(action.request_id, action.value)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/peers.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/peers.py
@@ -1,7 +1,9 @@
 """Messages to and from other daemons over pynng."""
 
 from collections.abc import Callable
+import math
 import threading
+import time
 from typing import Any
 
 import pynng
@@ -11,6 +13,8 @@
 SEND_BUFFER = 256  # messages kept for a peer that is not connected yet
 RECEIVE_TIMEOUT_MS = 500
 RECONNECT_MAX_MS = 1000
+REDIAL_PERIOD_S = 2.0  # shortest time between two connections to a peer
+IDLE_S = 120.0  # a connection that was not used for so long is closed
 
 
 class Peers:
@@ -23,6 +27,8 @@
             listen=f"tcp://{address}", recv_timeout=RECEIVE_TIMEOUT_MS
         )
         self._outboxes: dict[str, pynng.Push0] = {}
+        self._used_at: dict[str, float] = {}
+        self._dialled_at: dict[str, float] = {}
 
     def start(self, post: Callable[[Any], None]) -> None:
         """Hands each message that comes in to ``post``, on a thread."""
@@ -35,11 +41,34 @@
         outbox = self._outboxes.get(to)
         if outbox is None:
             outbox = self._outboxes[to] = self._dial(to)
+            self._close_idle()
+        self._used_at[to] = time.monotonic()
         try:
             outbox.send(messages.encode(message), block=False)
         except pynng.NNGException:
             self._metrics.count("lost_messages")
 
+    def redial(self, to: str) -> None:
+        """Closes the connection to a peer; the next message opens another.
+
+        What the old one has not delivered yet is lost.
+        """
+        age_s = time.monotonic() - self._dialled_at.get(to, -math.inf)
+        if to in self._outboxes and age_s >= REDIAL_PERIOD_S:
+            self._forget(to)
+
+    def _close_idle(self) -> None:
+        """Closes the connections to peers that are gone."""
+        before = time.monotonic() - IDLE_S
+        for to, used_at in list(self._used_at.items()):
+            if used_at < before:
+                self._forget(to)
+
+    def _forget(self, to: str) -> None:
+        self._outboxes.pop(to).close()
+        del self._used_at[to]
+        del self._dialled_at[to]
+
     def close(self) -> None:
         """Closes all sockets."""
         self._closing.set()
@@ -52,6 +81,7 @@
             send_buffer_size=SEND_BUFFER,
             reconnect_time_max=RECONNECT_MAX_MS,
         )
+        self._dialled_at[to] = time.monotonic()
         outbox.dial(f"tcp://{to}", block=False)
         return outbox
 
--- a/packages/hemlockreel/hemlockreel/actions.py
+++ b/packages/hemlockreel/hemlockreel/actions.py
@@ -16,6 +16,15 @@
     message: messages.Message
 
 
+class Redial(NamedTuple):
+    """Opens a new connection to the peer ``to`` for what is sent next.
+
+    The present one may have lost its other end without a sign of it.
+    """
+
+    to: str
+
+
 class Tell(NamedTuple):
     """Hands ``value`` to the worker that waits for ``request_id``.
 
@@ -96,6 +105,7 @@
 
 Action = (
     Send
+    | Redial
     | Tell
     | CallStore
     | ListHosts
--- a/packages/hemlockreel/hemlockreel/entry.py
+++ b/packages/hemlockreel/hemlockreel/entry.py
@@ -28,6 +28,7 @@
         self.owners = owners
         self.ask_again_at = now + ASK_TIMEOUT_S
         self.deadline = now + ask.deadline_s
+        self.queued = False
         self.grant: messages.Grant | None = None
 
 
@@ -291,6 +292,7 @@
 ) -> Iterable[actions.Action]:
     request = board.state(State).requests.get(event.request_id)
     if request is not None and event.sender == request.owners[0]:
+        request.queued = True
         request.ask_again_at = now + REPEAT_ASK_S
     return ()
 
@@ -359,7 +361,14 @@
         return
     if now < request.ask_again_at:
         return
+    if request.queued:
+        # The owner that has the ask is asked first whether it still has.
+        request.queued = False
+        request.ask_again_at = now + ASK_TIMEOUT_S
+        yield actions.Send(request.owners[0], request.ask)
+        return
     silent = request.owners[0]
+    yield actions.Redial(silent)
     request.owners = shards.rank_owners(board, request.ask.shard)
     if request.owners[0] == silent and len(request.owners) > 1:
         request.owners.append(request.owners.pop(0))
--- a/packages/hemlockreel/hemlockreel/registration.py
+++ b/packages/hemlockreel/hemlockreel/registration.py
@@ -18,6 +18,7 @@
 from . import membership
 from . import messages
 from . import precedence
+from . import renewal
 from . import shards
 
 
@@ -91,6 +92,9 @@
 def _queried(
     event: messages.GrantQuery, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
+    if event.seq == renewal.LAST_ASK_SEQ:
+        # The heartbeats did not arrive there, though its messages come here.
+        yield actions.Redial(event.sender)
     held = []
     elsewhere = []
     left: dict[str, list[int]] = {}
--- a/packages/hemlockreel/tests/test_membership.py
+++ b/packages/hemlockreel/tests/test_membership.py
@@ -254,3 +254,15 @@
         per_host.append(sum(made.sent_bytes.values()) / count / 60)
     assert max(per_host) < 1000  # a third of the 3 KB a second of a node
     assert per_host[1] < 1.2 * per_host[0]
+
+
+def test_silent_connection_is_opened_anew_before_anybody_is_suspected():
+    made = region(3)
+    made.cuts.add((host(0), host(1)))
+    while not made.told(host(0), actions.Redial):
+        made.run(0.1)
+        assert made.now < 10.0
+    assert made.told(host(0), actions.Redial)[0].to == host(1)
+    made.cuts.clear()  # The new connection works.
+    made.run(5.0)
+    assert [removals(made, at) for at in made.boards] == [set()] * 3
