--- a/packages/hemlockreel/hemlockreel/configuration_status.py
+++ b/packages/hemlockreel/hemlockreel/configuration_status.py
@@ -8,10 +8,12 @@
 import functools
 from typing import Any
 
+from . import acceptance
 from . import actions
 from . import board as boards
 from . import configuration
 from . import events
+from . import feeds
 from . import membership
 from . import readers
 
@@ -93,6 +95,7 @@
     return {
         "region": board.identity.region,
         "generation": found.generation,
+        "revision": acceptance.revision(feeds.get(board, configuration.FEED)),
         "members": len(members),
         "in_force": len(members) - len(behind),
         "behind": {host: behind[host] for host in named},
