--- a/standins/hemlockreel_standins/bench.py
+++ b/standins/hemlockreel_standins/bench.py
@@ -385,6 +385,9 @@
             return
         if self.tally.counted(job.call.at):
             self.tally.counts["cancelled"] += 1
+            self.tally.counts["deferrable cancelled"] += (
+                job.call.klass == "deferrable"
+            )
         self._cancel(job)
 
     def _lose_patience(self, job: Job) -> None:
