--- a/standins/hemlockreel_standins/bench.py
+++ b/standins/hemlockreel_standins/bench.py
@@ -266,6 +266,7 @@
             self.tally.counts["returned refused"] += job.tries == 1
             if call.klass == "deferrable":
                 self.tally.counts["deferrable refused"] += 1
+                self.tally.counts["deferrable given up"] += not call.follows
         if call.follows and denied.retry_after_s:
             if counts:
                 self.tally.counts["told"] += 1
--- a/standins/hemlockreel_standins/measure.py
+++ b/standins/hemlockreel_standins/measure.py
@@ -1,11 +1,13 @@
 """Measures the policy: goodput, wasted prefill and refusals under load.
 
-Run by ``make measure``. All runs are in virtual time with fixed seeds.
+Run by ``make measure``. All runs are in virtual time with fixed seeds, so a
+second run prints the same figures.
 """
 
 import argparse
 from collections.abc import Callable
 from collections.abc import Iterable
+from concurrent import futures
 import functools
 import random
 from typing import Any
@@ -24,8 +26,11 @@
 WARM_UP_S = 60.0
 RUN_S = 300.0
 DRAIN_S = 200.0  # for the calls under way, and for those who come back
-SEEDS = (1, 2, 3)
+SEEDS = 6
+WORKERS = 4
 LOADS = (0.5, 1.0, 1.5, 2.0)
+FAULT_AT_S = 160.0
+RECOVERY_S = 10.0
 
 
 class Setup(NamedTuple):
@@ -39,13 +44,33 @@
     return ledger.Ledger(msgspec.structs.replace(profile.pool, **changed))
 
 
+def _naive(profile: workload.Profile) -> baseline.RoundRobin:
+    return baseline.RoundRobin()
+
+
 POLICIES = (
-    Setup("naive", lambda profile: baseline.RoundRobin()),
+    Setup("naive", _naive),
     Setup("reserve", functools.partial(_ledger, overcommit=0.0)),
     Setup("ahead 0.3", functools.partial(_ledger, overcommit=0.3)),
     Setup("ahead 0.9", functools.partial(_ledger, overcommit=0.9)),
     Setup("adaptive", functools.partial(_ledger, overcommit="adaptive")),
 )
+NAIVE = POLICIES[0]
+ADAPTIVE = POLICIES[-1]
+
+
+class Run(NamedTuple):
+    """One run: a policy under a steady load, with what else happens.
+
+    ``prepare`` and ``extra`` are the name and the arguments of a function of
+    :mod:`scenarios`; the one of ``extra`` gets profile and seed as well.
+    """
+
+    profile: workload.Profile
+    setup: Setup
+    load: float
+    prepare: tuple[Any, ...] = ()
+    extra: tuple[Any, ...] = ()
 
 
 def play(
@@ -72,13 +97,14 @@
     calls: Iterable[workload.Call],
     seed: int,
     prepare: scenarios.Prepare | None = None,
+    end: float = 0.0,
 ) -> tallies.Figures:
     """Runs one policy under given calls and returns what it counted."""
     targets = tallies.Targets(
         profile.pool.first_token_ms / 1000,
         profile.pool.between_tokens_ms / 1000,
     )
-    end = WARM_UP_S + RUN_S
+    end = end or WARM_UP_S + RUN_S
     tally = tallies.Tally(targets, WARM_UP_S, end)
     made = bench.Bench(profile, setup.make(profile), tally, seed)
     if prepare is not None:
@@ -87,56 +113,232 @@
     return tally.figures()
 
 
+def _play_run(run: Run, seed: int) -> tallies.Figures:
+    prepare = None
+    if run.prepare:
+        name, *rest = run.prepare
+        prepare = getattr(scenarios, name)(*rest)
+    extra: Iterable[workload.Call] = ()
+    if run.extra:
+        load, start, end, drawn = run.extra
+        extra = scenarios.burst(run.profile, load, start, end, seed, **drawn)
+    return play(run.profile, run.setup, run.load, seed, prepare, extra)
+
+
+def _play_day(
+    profile: workload.Profile, position: float, seed: int, balanced: bool
+) -> tallies.Figures:
+    best = max(workload.capacity(profile, x, 8 - x) for x in range(1, 8))
+    end = scenarios.DAY_S
+    calls = scenarios.evening(profile, best, end, position, seed)
+    prepare = scenarios.balanced if balanced else None
+    return play_calls(profile, ADAPTIVE, calls, seed, prepare, end)
+
+
+class Seeds:
+    """Runs the same thing with several seeds, on several processors."""
+
+    def __init__(self, pool: futures.Executor, count: int):
+        self._pool = pool
+        self._seeds = range(1, count + 1)
+
+    def play(self, runs: Iterable[Run]) -> list[list[tallies.Figures]]:
+        """Returns the figures of each run with each seed."""
+        started = [
+            [self._pool.submit(_play_run, run, seed) for seed in self._seeds]
+            for run in runs
+        ]
+        return [[one.result() for one in row] for row in started]
+
+    def play_days(
+        self, days: Iterable[tuple[workload.Profile, float, bool]]
+    ) -> list[list[tallies.Figures]]:
+        """Returns the figures of each day with each seed."""
+        started = [
+            [
+                self._pool.submit(_play_day, profile, position, seed, balanced)
+                for seed in self._seeds
+            ]
+            for profile, position, balanced in days
+        ]
+        return [[one.result() for one in row] for row in started]
+
+
+def total(found: list[tallies.Figures], name: str) -> int:
+    """Returns a count over all seeds."""
+    return sum(figures.counts.get(name, 0) for figures in found)
+
+
+def mean_rate(found: list[tallies.Figures], start: float, end: float) -> float:
+    """Returns good answers per second in a part of the runs."""
+    return sum(x.rate(start, end) for x in found) / len(found)
+
+
 def line(name: str, found: list[tallies.Figures]) -> str:
     """Returns the figures of some runs of one policy as a line."""
     count = len(found)
     goodput = sum(x.goodput for x in found) / count
     wasted = sum(x.wasted for x in found) / count
-    tally = found[0]
+    first = found[0]
     refused = ", ".join(
-        f"{reason} {number}" for reason, number in tally.refusals.items()
+        f"{reason} {number}" for reason, number in first.refusals.items()
     )
     return (
         f"{name:<24} {goodput:7.2f} {wasted:8.2%} "
-        f"{tally.first_ms:>18} "
-        f"{tally.between_ms:>12}  {refused}"
+        f"{first.first_ms:>18} {first.between_ms:>12}  {refused}"
     )
 
 
 HEADER = (
-    f"{'policy':<24} {'good/s':>7} {'wasted':>8} "
+    f"{'':<24} {'good/s':>7} {'wasted':>8} "
     f"{'first ms 50/95/99':>18} {'gap ms':>12}  refusals (first seed)"
 )
 
 
-def show_loads(
-    profile: workload.Profile, loads: Iterable[float], seeds: Iterable[int]
-) -> None:
-    """Prints all policies at all loads."""
-    rate = workload.capacity(profile)
-    print(f"\n{profile.name}: capacity {rate:.2f} calls/s")
-    for load in loads:
+def show_loads(profile: workload.Profile, seeds: Seeds) -> None:
+    """Compares all policies at all loads."""
+    runs = [Run(profile, setup, x) for x in LOADS for setup in POLICIES]
+    found = iter(seeds.play(runs))
+    for load in LOADS:
         print(f"\nload {load:g}\n{HEADER}")
         for setup in POLICIES:
-            found = [play(profile, setup, load, seed) for seed in seeds]
-            print(line(setup.name, found), flush=True)
-            print("    ", dict(found[0].counts))
+            print(line(setup.name, next(found)), flush=True)
+
+
+FAULTS = {
+    "no fault": (),
+    "decode engine dies": ("engine_dies", "decode", FAULT_AT_S),
+    "prefill engine dies": ("engine_dies", "prefill", FAULT_AT_S),
+    "decode engine 4x slower": ("engine_slows", "decode", 4.0, FAULT_AT_S),
+    "prefill engine 4x slower": ("engine_slows", "prefill", 4.0, FAULT_AT_S),
+    "links at a tenth": ("links_slow", 0.1, FAULT_AT_S),
+}
+
+
+def show_faults(profile: workload.Profile, seeds: Seeds) -> None:
+    """Shows faults at the peak and the recovery from them."""
+    setups = (NAIVE, ADAPTIVE)
+    runs = [
+        Run(profile, setup, 1.0, fault)
+        for setup in setups
+        for fault in FAULTS.values()
+    ]
+    found = iter(seeds.play(runs))
+    ends = FAULT_AT_S + scenarios.FAULT_S
+    print(f"\nfaults of {scenarios.FAULT_S:.0f} s at load 1: good/s")
+    print(f"{'':<34} {'during':>7} {'after*':>7} {'wasted':>8} {'retries':>8}")
+    for setup in setups:
+        for name in FAULTS:
+            figures = next(found)
+            during = mean_rate(figures, FAULT_AT_S, ends)
+            after = mean_rate(figures, ends + RECOVERY_S, ends + 70)
+            wasted = sum(x.wasted for x in figures) / len(figures)
+            retries = total(figures, "failed") + total(figures, "evicted")
+            retries /= total(figures, "tries")
+            print(
+                f"{setup.name + ': ' + name:<34} {during:7.2f} {after:7.2f} "
+                f"{wasted:8.2%} {retries:8.2%}",
+                flush=True,
+            )
+    print(f"* from {RECOVERY_S:.0f} s after the end, for 60 s")
+
+
+def show_sharing(profile: workload.Profile, seeds: Seeds) -> None:
+    """Shows floods, deferrable calls and those who come back."""
+    end = WARM_UP_S + RUN_S
+    flood = (1.5, 100.0, end, {"organisation": "flood"})
+    draft = {"klass": "deferrable"}
+    runs = [
+        Run(profile, ADAPTIVE, 0.7),
+        Run(profile, ADAPTIVE, 0.7, extra=flood),
+        Run(profile, NAIVE, 0.7),
+        Run(profile, NAIVE, 0.7, extra=flood),
+        Run(profile, ADAPTIVE, 0.7, extra=(0.1, 0.0, end, draft)),
+        Run(profile, ADAPTIVE, 0.7, extra=(0.6, 0.0, end, draft)),
+        Run(profile, ADAPTIVE, 0.6, extra=(1.5, 100.0, 120.0, {})),
+        Run(profile, ADAPTIVE, 0.8, extra=(1.5, 100.0, 120.0, {})),
+        Run(profile, ADAPTIVE, 2.0),
+    ]
+    found = seeds.play(runs)
+    print("\nflood of 1.5 by one organisation beside 0.7: good of the others")
+    for name, index in (("adaptive", 0), ("naive", 2)):
+        alone, beside = (_others(found[index + x]) for x in (0, 1))
+        print(f"{name:<24} {alone} without, {beside} with the flood")
+    print("\ndeferrable beside 0.7: interactive good, deferrable")
+    for name, index in (("load 0.1", 4), ("load 0.6", 5)):
+        figures = found[index]
+        print(
+            f"{name:<24} {total(found[0], 'good')} without, "
+            f"{total(figures, 'good')} with; "
+            f"{total(figures, 'deferrable')} asked, "
+            f"{total(figures, 'deferrable done')} done, "
+            f"{total(figures, 'deferrable given up')} refused for good, "
+            f"{total(figures, 'deferrable cancelled')} cancelled"
+        )
+    print("\ncallers who come back when told: served at the first return")
+    names = ("burst of 20 s, load 0.6", "burst of 20 s, load 0.8", "load 2")
+    for name, index in zip(names, (6, 7, 8), strict=True):
+        back = total(found[index], "returned")
+        again = total(found[index], "returned refused")
+        print(f"{name:<24} {back} came back, {1 - again / back:.1%} served")
+
+
+def _others(found: list[tallies.Figures]) -> int:
+    return sum(
+        count
+        for figures in found
+        for name, count in figures.good_by_organisation.items()
+        if name != "flood"
+    )
+
+
+def show_days(profile: workload.Profile, seeds: Seeds) -> None:
+    """Compares the balance of roles with all fixed splits of 8 replicas."""
+    splits = [profile._replace(prefills=x, decodes=8 - x) for x in range(1, 6)]
+    days = []
+    for position in scenarios.PEAKS:
+        days += [(split, position, False) for split in splits]
+        days += [(splits[-1], position, True)]
+    found = iter(seeds.play_days(days))
+    print("\na day with a peak, 8 replicas: good answers by split")
+    for position in scenarios.PEAKS:
+        fixed = [total(next(found), "good") for _ in splits]
+        figures = next(found)
+        balanced = total(figures, "good")
+        print(
+            f"peak at {position:.0%}: fixed 1:7 to 5:3 {fixed}, balanced "
+            f"from 5:3 {balanced} ({balanced / max(fixed):.1%} of the best), "
+            f"{total(figures, 'role changes')} changes",
+            flush=True,
+        )
+
+
+PARTS = {
+    "loads": show_loads,
+    "faults": show_faults,
+    "sharing": show_sharing,
+    "days": show_days,
+}
 
 
 def main() -> None:
     """Prints the tables that the command line asks for."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--profile", action="append")
-    parser.add_argument("--load", type=float, action="append")
-    parser.add_argument("--seed", type=int, action="append")
+    parser.add_argument(
+        "--profile", action="append", choices=list(workload.PROFILES)
+    )
+    parser.add_argument("--part", action="append", choices=list(PARTS))
+    parser.add_argument("--seeds", type=int, default=SEEDS)
     options = parser.parse_args()
     names = options.profile or ["fjellpulver", "loch-ashie", "letter"]
-    for name in names:
-        show_loads(
-            workload.PROFILES[name],
-            options.load or LOADS,
-            options.seed or SEEDS,
-        )
+    with futures.ProcessPoolExecutor(WORKERS) as pool:
+        seeds = Seeds(pool, options.seeds)
+        for name in names:
+            profile = workload.PROFILES[name]
+            rate = workload.capacity(profile)
+            print(f"\n{name}: capacity {rate:.2f} calls/s")
+            for part in options.part or PARTS:
+                PARTS[part](profile, seeds)
 
 
 if __name__ == "__main__":
--- a/standins/hemlockreel_standins/scenarios.py
+++ b/standins/hemlockreel_standins/scenarios.py
@@ -12,6 +12,8 @@
 FAULT_S = 60.0  # length of a fault
 BALANCE_PERIOD_S = 5.0
 ROLE_CHANGE_S = 1.0
+DAY_S = 900.0  # a day is played this much shorter
+PEAKS = (0.3, 0.5, 0.8)  # where in the day the peak lies
 Prepare = Callable[[bench.Bench], None]
 
 
