--- a/packages/hemlockreel/hemlockreel/core.py
+++ b/packages/hemlockreel/hemlockreel/core.py
@@ -11,20 +11,34 @@
 from . import board as boards
 from . import claims
 from . import configuration
+from . import configuration_reader
+from . import configuration_status
 from . import drain
 from . import entry
+from . import feeds
 from . import hosts
+from . import loads
 from . import membership
 from . import owner
 from . import probes
+from . import registration
+from . import renewal
+from . import takeover
 
 # Membership goes first, so that the others see the table after this event.
 CONTROLLERS = (
     membership,
     probes,
+    feeds,
     hosts,
+    configuration_reader,
     configuration,
+    configuration_status,
+    renewal,
+    takeover,
     owner,
+    loads,
+    registration,
     entry,
     claims,
     drain,
--- a/packages/hemlockreel/hemlockreel/messages.py
+++ b/packages/hemlockreel/hemlockreel/messages.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from . import documents
+
 
 class Message(
     msgspec.Struct, frozen=True, array_like=True, tag=True, kw_only=True
@@ -84,26 +86,38 @@
     updates: list[MemberUpdate] = []
 
 
-# Configuration
+# Feeds
+
 
+class Head(msgspec.Struct, frozen=True, array_like=True):
+    """The version of a feed that a daemon holds.
 
-class ConfigurationOffer(Message):
-    """Tells a peer which accepted generation the sender has in force."""
+    ``age_s`` is the time since the source agreed with it, ``None`` where
+    that does not matter.
+    """
 
-    generation: int
+    feed: str
+    version: int
+    age_s: float | None = None
 
 
-class ConfigurationRequest(Message):
-    """Asks a peer for its accepted configuration above ``above``."""
+class FeedOffer(Message):
+    """Tells a peer which versions the sender holds.
+
+    Who is behind is sent the difference. ``answer`` marks an offer that was
+    caused by one, so that no third follows.
+    """
 
-    above: int
+    heads: list[Head] = []
+    answer: bool = False
 
 
-class ConfigurationUpdate(Message):
-    """An accepted configuration as JSON bytes."""
+class FeedUpdate(Message):
+    """What is new in a feed; see :class:`hemlockreel.documents.Difference`."""
 
-    generation: int
-    body: bytes
+    feed: str
+    difference: documents.Difference
+    age_s: float | None = None
 
 
 # Requests
@@ -232,6 +246,58 @@
     grant_ids: list[int]
 
 
+class HeldGrant(msgspec.Struct, frozen=True, array_like=True):
+    """A grant as its entry knows it; the ask comes without its prefixes."""
+
+    ask: Ask
+    grant_id: int
+    replica: str
+    prefill: str = ""
+
+
+class GrantQuery(Message):
+    """Asks an entry which of these requests and grants it holds.
+
+    The sender believes that it owns their shard.
+    """
+
+    seq: int
+    request_ids: list[str] = []
+    grant_ids: list[int] = []
+
+
+class GrantReport(Message):
+    """Answers a :class:`GrantQuery`, or registers grants at a new owner.
+
+    ``grants`` are held from the receiver from now on. ``elsewhere`` names
+    requests that are held from another owner. ``seq`` is 0 without a query.
+    """
+
+    seq: int
+    grants: list[HeldGrant] = []
+    elsewhere: list[str] = []
+
+
+class Moved(Message):
+    """Grants that another owner has taken over; nothing is cancelled."""
+
+    grant_ids: list[int]
+
+
+class AskElsewhere(Message):
+    """The sender keeps an ask no longer, since it does not own the shard."""
+
+    request_id: str
+    attempt: int
+
+
+class Abandoned(Message):
+    """A request that was under a revoked grant may still be at replicas."""
+
+    request_id: str
+    replicas: list[str]
+
+
 AnyMessage = (
     Ping
     | PingRequest
@@ -239,9 +305,8 @@
     | SyncRequest
     | Sync
     | Gossip
-    | ConfigurationOffer
-    | ConfigurationRequest
-    | ConfigurationUpdate
+    | FeedOffer
+    | FeedUpdate
     | Ask
     | Grant
     | Refusal
@@ -254,6 +319,11 @@
     | HeartbeatMismatch
     | GrantList
     | Revoked
+    | GrantQuery
+    | GrantReport
+    | Moved
+    | AskElsewhere
+    | Abandoned
 )
 
 _decoder = msgspec.msgpack.Decoder(AnyMessage)
