Pass over load reports that make no sense, and plain replicas

A report with an unknown role or a missing field stopped the owner's loop; a plain replica listed under a model's service counted as a decode engine. Both tests failed first.

--- a/packages/hemlockreel/hemlockreel/fleet.py
+++ b/packages/hemlockreel/hemlockreel/fleet.py
@@ -2,12 +2,24 @@
 
 from collections.abc import Iterable
 import math
+from typing import Literal
+
+import msgspec
 
 from . import objects
 from . import replicas
 from . import stations
 
 
+class Report(msgspec.Struct, frozen=True):
+    """What is used of an engine's load report."""
+
+    pieces_total: int
+    pieces_free: int
+    role: Literal["prefill", "decode"] | None = None
+    age_s: float = 0.0
+
+
 class Fleet:
     """The stations of the live replicas of one shard.
 
@@ -57,21 +69,25 @@
             self._arrange()
 
     def set_load(self, address: str, load: dict, now: float) -> None:
-        """Takes over a load report, see docs/design/protocols.md."""
+        """Takes over a load report, see docs/design/protocols.md.
+
+        A report that is not understood is passed over.
+        """
         if address not in self.replicas:
             return
-        if "role" in load:
-            role = replicas.Role(load["role"])
-            if self.role(address) is not role:
-                self._reported[address] = role
-                self._arrange()
-        station = self._known[address, self.role(address)]
-        measured_at = now - load.get("age_s", 0.0)
-        station.reported_at = measured_at
-        self._freshest = max(self._freshest, measured_at)
+        try:
+            report = msgspec.convert(load, Report)
+        except msgspec.ValidationError:
+            return
+        if report.role is not None:
+            self._take_role(address, replicas.Role(report.role))
+        station = self._known.get((address, self.role(address)))
+        if station is None:
+            return
+        station.reported_at = now - report.age_s
+        self._freshest = max(self._freshest, station.reported_at)
         if isinstance(station, stations.Decode):
-            total = load["pieces_total"]
-            station.report(total, load.get("pieces_free", total), now)
+            station.report(report.pieces_total, report.pieces_free, now)
 
     def role(self, address: str) -> replicas.Role:
         """Returns the role of a listed replica."""
@@ -99,11 +115,19 @@
             and station.address not in exclude
         ]
 
+    def _take_role(self, address: str, role: replicas.Role) -> None:
+        """Takes over the role that an engine reports."""
+        if self.role(address) is not role:
+            self._reported[address] = role
+            self._arrange()
+
     def _arrange(self) -> None:
         """Puts each listed replica into its role."""
         self.prefills = {}
         self.decodes = {}
         for address, replica in self.replicas.items():
+            if self.role(address) is replicas.Role.PLAIN:
+                continue
             station = self._station(address, self.role(address))
             station.leaving = replica.leaving or address in self._retiring
             if isinstance(station, stations.Prefill):
--- a/packages/hemlockreel/tests/test_ledger.py
+++ b/packages/hemlockreel/tests/test_ledger.py
@@ -308,3 +308,28 @@
     pool = msgspec.structs.replace(POOL, overcommit=setting)
     given = fill(make_ledger(pool))
     assert (len(given) > 40) == (setting > 0)
+
+
+@pytest.mark.parametrize(
+    "load",
+    [
+        {},
+        {"role": "novel", "pieces_total": 20},
+        {"role": "decode", "pieces_total": None, "pieces_free": "many"},
+        {"role": "decode", "pieces_total": 20, "age_s": "old"},
+    ],
+)
+def test_report_that_makes_no_sense_changes_nothing(load):
+    book = make_ledger()
+    book.set_load("d1", load, 1.0)
+    assert book.free("d1") == 20
+    assert book.fleet.decodes["d1"].reported_at is None
+
+
+def test_plain_replica_gets_no_model_requests():
+    book = make_ledger(addresses=("p1", "d1"))
+    plain = replicas.Role.PLAIN
+    members = listed("p1", "d1")
+    book.set_replicas([members[0], members[1]._replace(role=plain)])
+    [denied] = book.submit(make_ask(1), 1, 0.0)
+    assert denied.reason is outcomes.Reason.NO_BACKEND
