--- a/standins/hemlockreel_standins/baseline.py
+++ b/standins/hemlockreel_standins/baseline.py
@@ -1,10 +1,11 @@
-"""The naive policy that the ledger is compared with.
+"""The naive policies that the ledger is compared with.
 
-It grants everything at once, round robin, and reserves nothing.
+They grant everything at once and reserve nothing.
 """
 
 from collections.abc import Iterable
 import itertools
+import random
 
 from hemlockreel import decisions
 from hemlockreel import messages
@@ -12,7 +13,10 @@
 
 
 class RoundRobin:
-    """Has the methods of the ledger that the load tool calls."""
+    """Grants the replicas in turn.
+
+    It has the methods of the ledger that the load tool calls.
+    """
 
     def __init__(self):
         self._prefills: list[str] = []
@@ -31,7 +35,7 @@
         """Grants the next replicas in turn."""
         turn = next(self._turns)
         prefill = self._prefills[turn % len(self._prefills)]
-        decode = self._decodes[turn % len(self._decodes)]
+        decode = self._pick(self._decodes, turn)
         return [decisions.Granted(ask, grant_id, decode, prefill)]
 
     def decide(self, now: float) -> list[decisions.Decision]:
@@ -58,6 +62,37 @@
     def release(self, grant_id: int, now: float) -> None:
         """Does nothing."""
 
+    def _pick(self, decodes: list[str], turn: int) -> str:
+        """Returns the decode replica for the next request."""
+        return decodes[turn % len(decodes)]
+
+
+class LeastLoaded(RoundRobin):
+    """Takes the decode replica that reported the most free memory."""
+
+    def __init__(self):
+        super().__init__()
+        self._free: dict[str, int] = {}
+
+    def set_load(self, address: str, load: dict, now: float) -> None:
+        """Takes over a load report."""
+        self._free[address] = load["pieces_free"]
+
+    def _pick(self, decodes: list[str], turn: int) -> str:
+        return max(decodes, key=lambda x: self._free.get(x, 0))
+
+
+class PowerOfTwo(LeastLoaded):
+    """Takes the better of two random decode replicas."""
+
+    def __init__(self):
+        super().__init__()
+        self._rng = random.Random(1)
+
+    def _pick(self, decodes: list[str], turn: int) -> str:
+        two = self._rng.sample(decodes, min(2, len(decodes)))
+        return super()._pick(two, turn)
+
 
 def _addresses(
     members: list[replicas.Replica], role: replicas.Role
--- a/standins/hemlockreel_standins/measure.py
+++ b/standins/hemlockreel_standins/measure.py
@@ -44,12 +44,25 @@
     return ledger.Ledger(msgspec.structs.replace(profile.pool, **changed))
 
 
-def _naive(profile: workload.Profile) -> baseline.RoundRobin:
-    return baseline.RoundRobin()
+def _naive(
+    profile: workload.Profile, made: type[baseline.RoundRobin]
+) -> baseline.RoundRobin:
+    return made()
 
 
+NO_MARGIN_MS = -1_000_000_000  # nothing is ever late
 POLICIES = (
-    Setup("naive", _naive),
+    Setup("naive", functools.partial(_naive, made=baseline.RoundRobin)),
+    Setup(
+        "least loaded", functools.partial(_naive, made=baseline.LeastLoaded)
+    ),
+    Setup("power of two", functools.partial(_naive, made=baseline.PowerOfTwo)),
+    Setup(
+        "reserve, no shedding",
+        functools.partial(
+            _ledger, overcommit=0.0, margin_ms=NO_MARGIN_MS, queue_limit=9999
+        ),
+    ),
     Setup("reserve", functools.partial(_ledger, overcommit=0.0)),
     Setup("ahead 0.3", functools.partial(_ledger, overcommit=0.3)),
     Setup("ahead 0.9", functools.partial(_ledger, overcommit=0.9)),
