Leave the last idle prefill engine to interactive asks

The cause was a long deferrable prefill on one of two prefill engines while the other one ran: no ask stops a prefill that runs.

--- a/packages/hemlockreel/hemlockreel/placement.py
+++ b/packages/hemlockreel/hemlockreel/placement.py
@@ -193,8 +193,9 @@
 def _leave_prefills(
     usable: list[stations.Prefill], view: forecasts.View
 ) -> list[stations.Prefill]:
-    """Leaves half of the replicas, and any line, to other asks."""
+    """Leaves half of the replicas, and the last idle one, to other asks."""
     running = sum(x.yielding for x in view.prefills)
     if running >= max(1, len(view.prefills) // 2):
         return []
-    return [station for station in usable if not station.line]
+    idle = [station for station in usable if not station.line]
+    return idle if len(idle) > 1 or len(view.prefills) == 1 else []
