Check objects by the daemons' own rules and wait until they are in force

The command line had rules of its own for references between objects, which stood twice since the daemons accept objects by `acceptance.merge`. It now asks that function, on what was read just before the write, in two steps: what the daemons will make of the store as it is, then of the change. With one step a pool that a rollout refers to could be deleted before any daemon had merged it; the test for it failed and passes now.

The demo waits by it.

--- a/packages/hemlockreel-ctl/hemlockreel_ctl/apply.py
+++ b/packages/hemlockreel-ctl/hemlockreel_ctl/apply.py
@@ -7,7 +7,7 @@
 from typing import Any
 from typing import NamedTuple
 
-from hemlockreel import objects
+from hemlockreel import acceptance
 
 from . import command
 from . import errors
@@ -16,6 +16,7 @@
 from . import references
 from . import results
 from . import settle
+from . import waiting
 
 
 class Change(NamedTuple):
@@ -68,6 +69,12 @@
         action="store_true",
         help="check, show what would be written, and write nothing",
     )
+    parser.add_argument(
+        "--wait",
+        type=float,
+        metavar="SECONDS",
+        help="wait until all daemons have the objects in force",
+    )
     parser.add_argument(
         "--diff", action="store_true", help="show the changes line by line"
     )
@@ -81,9 +88,11 @@
             f"holds {len(entries)}"
         )
     found = command.check_read(
-        context.client.list(objects.DECLARED_KINDS), "the declared objects"
+        context.client.list(references.READ_KINDS), "the declared objects"
     )
-    _check_references(entries, found)
+    faults = references.check_writes(found, entries)
+    if faults:
+        raise errors.UserError("nothing was written: " + "; ".join(faults))
     changes = _compare(entries, found)
     if options.diff and not context.json:
         for change in changes:
@@ -96,23 +105,27 @@
         left = [change.label for change in changes[len(lines) + 1 :]]
         raise errors.UserError(_tell(error, lines, left), error.code) from None
     _show(context, lines)
+    if options.wait is not None and not options.dry_run:
+        _await_force(context, changes, lines, options.wait)
 
 
-def _check_references(
-    entries: list[manifest.Entry], found: results.Listing
+def _await_force(
+    context: command.Context,
+    changes: list[Change],
+    lines: list[Line],
+    seconds: float,
 ) -> None:
-    after = references.parse(found.items)
-    for entry in entries:
-        after[entry.kind, entry.name] = entry.declared
-    faults = [
-        f"{entry.kind}/{entry.name}: {fault}"
-        for entry in entries
-        for fault in references.check(
-            entry.declared, (entry.kind, entry.name), after
+    versions = {
+        acceptance.key_of(change.entry.kind, change.entry.name): line.version
+        for change, line in zip(changes, lines, strict=True)
+    }
+    force = waiting.wait(context.client, versions, seconds)
+    if not context.json:
+        print(
+            f"in force on {force.members} daemons of {force.regions} "
+            f"regions, generation {force.generation}",
+            file=context.out,
         )
-    ]
-    if faults:
-        raise errors.UserError("nothing was written: " + "; ".join(faults))
 
 
 def _compare(
--- a/packages/hemlockreel-ctl/hemlockreel_ctl/delete.py
+++ b/packages/hemlockreel-ctl/hemlockreel_ctl/delete.py
@@ -26,13 +26,11 @@
     key = (options.kind, options.name)
     label = "/".join(key)
     found = command.check_read(
-        context.client.list(objects.DECLARED_KINDS), "the declared objects"
+        context.client.list(references.READ_KINDS), "the declared objects"
     )
-    users = references.referrers(key, references.parse(found.items))
-    if users:
-        raise errors.UserError(
-            f"{label} was not deleted: {', '.join(users)} refer to it"
-        )
+    faults = references.check_deletion(found, *key)
+    if faults:
+        raise errors.UserError("nothing was deleted: " + "; ".join(faults))
     expected = options.if_version
     if expected is None:
         versions = {
--- a/packages/hemlockreel-ctl/hemlockreel_ctl/errors.py
+++ b/packages/hemlockreel-ctl/hemlockreel_ctl/errors.py
@@ -7,7 +7,8 @@
     """What the exit code of ``hemlockreel`` says to a script.
 
     ``LOST_RACE`` and ``UNAVAILABLE`` mean that nothing was written for the
-    object that the message names; after ``UNKNOWN`` it may have been.
+    object that the message names; after ``UNKNOWN`` it may have been, and
+    with ``NOT_IN_FORCE`` it was.
     argparse itself ends with 2 for a wrong command line.
     """
 
@@ -16,6 +17,7 @@
     LOST_RACE = 3
     UNKNOWN = 4
     UNAVAILABLE = 5
+    NOT_IN_FORCE = 6
 
 
 class UserError(Exception):
--- a/packages/hemlockreel-ctl/hemlockreel_ctl/references.py
+++ b/packages/hemlockreel-ctl/hemlockreel_ctl/references.py
@@ -1,94 +1,99 @@
-"""Checks declared objects against each other.
+"""Checks declared objects against each other before they are written.
 
-The check is made against what was read before the write, so two operators can
-still get past it together; the daemons check what they accept again.
+The daemons' own function decides, on what was read just before the write. Two
+operators can still get past it together; the daemons check again what they
+accept.
 """
 
 from collections.abc import Iterable
 from collections.abc import Iterator
-from collections.abc import Mapping
-import functools
 from typing import Any
 
+import msgspec
+
+from hemlockreel import acceptance
+from hemlockreel import documents
 from hemlockreel import objects
 
+from . import manifest
 from . import results
 
-Key = tuple[str, str]
-Declared = Mapping[Key, objects.Declared]
-
-
-def parse(items: Iterable[results.Stored]) -> dict[Key, objects.Declared]:
-    """Returns the objects of the store that are valid, by kind and name."""
-    parsed = {
-        (item.kind, item.name): objects.parse(item.kind, item.name, item.value)
-        for item in items
-    }
+READ_KINDS = (*objects.DECLARED_KINDS, "accepted")
+ACCEPTED = ("accepted", "current")
+
+Declared = dict[str, acceptance.Declared]
+
+
+def check_writes(
+    found: results.Listing, entries: Iterable[manifest.Entry]
+) -> list[str]:
+    """Returns what is wrong with ``entries`` beside the objects ``found``."""
+    declared = _declare(found)
+    keys = []
+    for entry in entries:
+        key = acceptance.key_of(entry.kind, entry.name)
+        known = declared.get(key)
+        if known is None or known.value != entry.value:
+            declared[key] = acceptance.Declared(
+                found.revision + 1, entry.value
+            )
+        keys.append(key)
+    faults = _find_rejected(found, declared, keys)
+    return faults + list(_find_plain_routes(declared, keys))
+
+
+def check_deletion(found: results.Listing, kind: str, name: str) -> list[str]:
+    """Returns why an object can't be deleted."""
+    key = acceptance.key_of(kind, name)
+    declared = _declare(found)
+    declared.pop(key, None)
+    return _find_rejected(found, declared, [key])
+
+
+def get_accepted(items: Iterable[results.Stored]) -> documents.Document:
+    """Returns the accepted document, empty if there is none."""
+    for item in items:
+        if (item.kind, item.name) == ACCEPTED:
+            try:
+                return msgspec.convert(item.value, documents.Document)
+            except msgspec.ValidationError:
+                return documents.EMPTY
+    return documents.EMPTY
+
+
+def _declare(found: results.Listing) -> Declared:
     return {
-        key: declared
-        for key, declared in parsed.items()
-        if not isinstance(declared, objects.Invalid)
+        acceptance.key_of(item.kind, item.name): acceptance.Declared(
+            item.version, item.value
+        )
+        for item in found.items
+        if item.kind in objects.DECLARED_KINDS
     }
 
 
-@functools.singledispatch
-def check(declared: Any, key: Key, others: Declared) -> Iterator[str]:
-    """Yields what is wrong with ``declared`` beside ``others``."""
-    yield from ()
-
-
-@check.register
-def _model_pool(
-    declared: objects.ModelPool, key: Key, others: Declared
-) -> Iterator[str]:
-    for label, other in _rest(others, key, objects.ModelPool):
-        if other.model == declared.model:
-            yield f"{label} serves the model {declared.model!r} already"
-        if other.service == declared.service:
-            yield f"{label} uses the service {declared.service!r} already"
-    for label, other in _rest(others, key, objects.Route):
-        if other.service == declared.service:
-            yield f"{label} routes plain calls to {declared.service!r}"
-
-
-@check.register
-def _route(
-    declared: objects.Route, key: Key, others: Declared
-) -> Iterator[str]:
-    if not declared.prefix.startswith("/"):
-        yield f"the prefix {declared.prefix!r} does not start with '/'"
-    for label, other in _rest(others, key, objects.Route):
-        if other.prefix == declared.prefix:
-            yield f"{label} has the prefix {declared.prefix!r} already"
-    for label, other in _rest(others, key, objects.ModelPool):
-        if other.service == declared.service:
-            yield f"{label} uses {declared.service!r} for a model"
-
-
-@check.register
-def _rollout(
-    declared: objects.Rollout, key: Key, others: Declared
-) -> Iterator[str]:
-    if ("modelpools", declared.pool) not in others:
-        yield f"it refers to modelpools/{declared.pool}, which does not exist"
-    for label, other in _rest(others, key, objects.Rollout):
-        if other.pool == declared.pool:
-            yield f"{label} rolls out to the pool {declared.pool!r} already"
-
-
-def referrers(key: Key, others: Declared) -> list[str]:
-    """Returns the labels of the objects that refer to ``key``."""
-    kind, name = key
-    if kind != "modelpools":
-        return []
-    return [
-        label
-        for label, other in _rest(others, key, objects.Rollout)
-        if other.pool == name
-    ]
-
-
-def _rest(others: Declared, key: Key, kind: type) -> Iterator[tuple[str, Any]]:
-    for other_key, other in others.items():
-        if other_key != key and isinstance(other, kind):
-            yield "/".join(other_key), other
+def _find_rejected(
+    found: results.Listing, declared: Declared, keys: list[str]
+) -> list[str]:
+    accepted = get_accepted(found.items)
+    # The daemons may not have merged yet what is in the store.
+    at = max(found.revision, acceptance.revision(accepted))
+    before = acceptance.merge(accepted, _declare(found), at)
+    merged = acceptance.merge(before, declared, at + 1)
+    labelled = {
+        acceptance.key_of(invalid.kind, invalid.name): invalid.reason
+        for invalid in acceptance.rejected(merged)
+    }
+    return [f"{key}: {labelled[key]}" for key in keys if key in labelled]
+
+
+def _find_plain_routes(declared: Declared, keys: list[str]) -> Iterator[str]:
+    """Yields routes that would send plain calls to model engines."""
+    services: dict[str, dict[str, Any]] = {"modelpools": {}, "routes": {}}
+    for key, item in declared.items():
+        kind = key.partition("/")[0]
+        if kind in services and isinstance(item.value, dict):
+            services[kind][key] = item.value.get("service")
+    for pool, service in services["modelpools"].items():
+        for route, other in services["routes"].items():
+            if service == other and (pool in keys or route in keys):
+                yield f"{route}: {pool} uses the service {service!r}"
--- a/packages/hemlockreel-ctl/tests/features/writes.feature
+++ b/packages/hemlockreel-ctl/tests/features/writes.feature
@@ -80,10 +80,11 @@
       | {"kind": "quotas", "name": "b", "value": {"weight": "x"}}                                           | Expected `float`, got `str`        |
       | {"kind": "quotas", "name": "b", "value": {"wieght": 1}}                                             | unknown field `wieght`             |
       | [{"kind": "quotas", "name": "b", "value": {}}, {"kind": "quotas", "name": "b", "value": {}}]        | is there twice                     |
-      | {"kind": "rollouts", "name": "b", "value": {"pool": "c", "version": "2"}}                           | modelpools/c, which does not exist |
-      | {"kind": "modelpools", "name": "b", "value": {"service": "b", "model": "lesar-7b"}}                 | serves the model 'lesar-7b'        |
-      | {"kind": "routes", "name": "b", "value": {"service": "lesar", "prefix": "/services/b"}}             | uses 'lesar' for a model           |
-      | {"kind": "routes", "name": "b", "value": {"service": "b", "prefix": "services/b"}}                  | does not start with '/'            |
+      | {"kind": "rollouts", "name": "b", "value": {"pool": "c", "version": "2"}}                           | modelpools/c does not exist       |
+      | {"kind": "modelpools", "name": "b", "value": {"service": "b", "model": "lesar-7b"}}                 | has the model 'lesar-7b' already   |
+      | {"kind": "routes", "name": "b", "value": {"service": "lesar", "prefix": "/services/b"}}             | uses the service 'lesar'           |
+      | {"kind": "quotas", "name": "b", "value": {"weight": 0}}                                             | Expected more than 0               |
+      | {"kind": "routes", "name": "b", "value": {"service": "b", "prefix": "services/b"}}                  | a path that begins with /          |
 
   Scenario: A list is written in the order of its references
     When the operator applies the file [{"kind": "rollouts", "name": "r", "value": {"pool": "b", "version": "2"}}, {"kind": "modelpools", "name": "b", "value": {"service": "b", "model": "b-7b"}}]
@@ -114,5 +115,5 @@
     Given a rollout of the pool lesar
     When the operator runs: delete modelpools lesar
     Then the exit code is 1
-    And the operator is told "rollouts/lesar refer to it"
+    And the operator is told "rollouts/lesar refers to it"
     And the store holds a margin of 300 ms
--- a/packages/hemlockreel-ctl/tests/test_main.py
+++ b/packages/hemlockreel-ctl/tests/test_main.py
@@ -9,7 +9,7 @@
 from hemlockreel_standins import server
 from hemlockreel_standins import store
 
-pytest_bdd.scenarios("features/writes.feature", "features/reads.feature")
+pytest_bdd.scenarios("features")
 
 KEY = ("modelpools", "lesar")
 
@@ -88,6 +88,37 @@
     def set(self, fault, value):
         self.faults[fault] = value
 
+    def accept(self, version, rejected=()):
+        """Writes the accepted document of generation 7."""
+        held = {"version": version, "value": pool(200)}
+        items = {"modelpools/lesar": [7, held], "rejected": [7, rejected]}
+        self.put("accepted", "current", {"version": 7, "items": items})
+
+    def report(self, region, members, in_force=None, generation=7):
+        value = {
+            "region": region,
+            "generation": generation,
+            "members": members,
+            "in_force": members if in_force is None else in_force,
+            "behind": {},
+        }
+        self.put("status", f"configuration-{region}", value)
+
+    def react(self, behave):
+        """Does what the daemons make of version 2 of the pool."""
+        accepted = "accept" in behave or "force" in behave
+        if accepted:
+            self.accept(1 if "before" in behave else 2)
+        if behave == "reject it":
+            fault = {"kind": KEY[0], "name": KEY[1], "version": 2}
+            self.accept(1, [{**fault, "reason": "it does not fit"}])
+        if not accepted or "nothing" in behave:
+            return
+        self.report("midt-norge", 2)
+        in_force = 2 if "one is behind" in behave else 3
+        generation = 6 if "a region is behind" in behave else 7
+        self.report("highlands", 3, in_force, generation)
+
 
 class Operator:
     def __init__(self, address, path, capsys):
@@ -154,6 +185,11 @@
     faulty.before[call] = faulty.plan(fault)
 
 
+@pytest_bdd.given(parsers.parse("daemons that {behave}"))
+def given_daemons(faulty, behave):
+    faulty.after["write"] = lambda: faulty.react(behave)
+
+
 @pytest_bdd.given(parsers.parse("at the second write {fault}"))
 def given_late_fault(faulty, fault):
     faulty.after["write"] = lambda: faulty.before.update(
@@ -180,6 +216,16 @@
     operator.apply_pool(margin, "--if-version", version)
 
 
+@pytest_bdd.when(
+    parsers.parse(
+        "the operator applies the pool with a margin of {margin:d} ms "
+        "and waits"
+    )
+)
+def when_applied_and_waited(operator, margin):
+    operator.apply_pool(margin, "--wait", "0.1")
+
+
 @pytest_bdd.when(
     parsers.parse("the operator tries the pool with a margin of {margin:d} ms")
 )
--- a/standins/hemlockreel_standins/deployments.py
+++ b/standins/hemlockreel_standins/deployments.py
@@ -137,9 +137,13 @@
 
 
 def configure(made: processes.Deployment, plan: Plan) -> str:
-    """Applies the configuration of ``plan``; returns what was printed."""
+    """Applies the configuration of ``plan``; returns what was printed.
+
+    Waits until it is in force at all daemons that have been started.
+    """
     path = EXAMPLES / plan.configuration
-    done = run_ctl(made, "apply", "-f", str(path))
+    wait = f"{READY_TIMEOUT_S:g}"
+    done = run_ctl(made, "apply", "-f", str(path), "--wait", wait)
     if done.returncode != 0:
         raise RuntimeError(f"hemlockreel apply failed: {done.stderr}")
     return done.stdout
