--- a/standins/hemlockreel_standins/probe.py
+++ b/standins/hemlockreel_standins/probe.py
@@ -1,7 +1,9 @@
 """Runs a daemon that also counts what it sends and receives.
 
 The counts are shown as ``hemlockreel_probe_bytes`` and
-``hemlockreel_probe_messages`` among the daemon's metrics. Bytes of HTTP are
+``hemlockreel_probe_messages`` among the daemon's metrics. The links of the
+bytes are ``store``, ``host_list``, ``engine_control``, ``data`` and ``peers``,
+and each type of message between peers once more. Bytes of HTTP are
 the kernel's counts of the connection (headers included, TCP/IP headers not),
 bytes between daemons are those of the encoded messages.
 """
@@ -97,6 +99,7 @@
 ) -> None:
     with _lock:
         _bytes[("peers", direction)] += len(data)
+        _bytes[(type(message).__name__, direction)] += len(data)
         _messages[("peers", direction, type(message).__name__)] += 1
 
 
--- a/standins/hemlockreel_standins/samples.py
+++ b/standins/hemlockreel_standins/samples.py
@@ -12,6 +12,7 @@
 
 CLOCK_HZ = os.sysconf("SC_CLK_TCK")
 MB = 1e6
+CONTROL_LINKS = ("peers", "store", "host_list", "engine_control")
 
 
 class Sample(NamedTuple):
@@ -51,9 +52,7 @@
 
     def control_received(self) -> float:
         """Returns bytes a second that are received for control."""
-        return sum(
-            rate for link, rate in self.received.items() if link != "data"
-        )
+        return sum(self.received.get(link, 0.0) for link in CONTROL_LINKS)
 
 
 def take(daemon: processes.Process) -> Sample:
--- a/standins/hemlockreel_standins/slope_idle.py
+++ b/standins/hemlockreel_standins/slope_idle.py
@@ -9,7 +9,7 @@
 from . import samples
 from . import slope_rig
 
-JOIN_SETTLE_S = 45.0  # until the news of all joins has spread
+JOIN_SETTLE_S = 85.0  # until the readings of new daemons are forgotten
 CHANGES_A_SECOND = 4
 
 
@@ -34,6 +34,9 @@
             if (link, direction) == ("peers", "sent")
         )
         found["messages sent to peers"] = ("1/s", sent)
+        for name, rate in use.sent.items():
+            if name[0].isupper():
+                found[f"{name} sent"] = ("B/s", rate)
         return found
 
 
--- a/standins/hemlockreel_standins/slope_rig.py
+++ b/standins/hemlockreel_standins/slope_rig.py
@@ -59,7 +59,7 @@
         "control sent": ("KB/s", use.control_sent() / 1000),
         "control received": ("KB/s", use.control_received() / 1000),
     }
-    for link in ("peers", "store", "host_list", "engine_control"):
+    for link in samples.CONTROL_LINKS:
         rate = use.sent.get(link, 0.0) + use.received.get(link, 0.0)
         found[f"{link}, both ways"] = ("KB/s", rate / 1000)
     return found
