Prove at the worker that a claimed call is sent once

Faults caused: one key at three hosts, nine calls at once; the caller leaves and repeats on another host while the call runs; the entry killed, and frozen past the time in which a claim may be used, between claim and call; the entry frozen while the call runs.

A claimed call went on after its caller had left, so that its repeat got the recorded answer; this came with the worker's interrupts, which leave claimed calls alone. With a slow store the calls to it wait for each other, claims behind polls, so the tests look for the moment instead of timing it.

--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,143 @@
+"""Promise 1, at the worker: a claimed call is sent once, whatever happens."""
+
+from concurrent import futures
+import signal
+import time
+
+import pytest
+import urllib3
+
+from hemlockreel_standins import processes
+
+ROUTE = {"service": "ordrebok", "prefix": "/orders", "timeout_ms": 4000}
+FREEZE_S = 2.5  # longer than a claim may wait for its call
+STORE_S = 0.5
+HTTP = urllib3.PoolManager(retries=False, timeout=20.0, maxsize=8)
+
+
+@pytest.fixture
+def hosts():
+    with processes.Deployment("midt-norge") as made:
+        made.plain = made.add_replica("ordrebok", "trondheim-a", "plain")
+        made.apply("routes", "ordrebok", ROUTE)
+        for zone in ("trondheim-a", "trondheim-b", "orkanger"):
+            made.add_daemon(zone)
+        for daemon in made.daemons:
+            daemon.await_ready()
+        yield made
+
+
+def book(daemon, key="k", timeout_s=20.0):
+    return HTTP.request(
+        "POST",
+        f"http://{daemon.callers}/orders/lots",
+        body=b"{}",
+        headers={"Idempotency-Key": key, "Content-Type": "application/json"},
+        timeout=timeout_s,
+    )
+
+
+def runs(made, key="k"):
+    """Returns the ids of the runs with ``key``."""
+    found = processes.get(made.plain.address, "/_journal")["runs"]
+    return [run["request_id"] for run in found if run["key"] == key]
+
+
+def has_claim(made):
+    return processes.get(made.store.address, "/v1/objects/claims")["items"]
+
+
+def book_until_answered(daemon, key="k"):
+    """Repeats a booking as told, and returns its last answer."""
+    for _ in range(8):
+        answer = book(daemon, key)
+        error = answer.json().get("error", {})
+        if "retry_after_s" not in error:
+            return answer
+        time.sleep(error["retry_after_s"])
+    return answer
+
+
+def test_one_key_at_three_hosts_at_once_runs_once(hosts):
+    with futures.ThreadPoolExecutor(9) as pool:
+        answers = list(pool.map(book, hosts.daemons * 3))
+    assert len(runs(hosts)) == 1
+    assert 200 in {answer.status for answer in answers}
+    for answer in answers:
+        if answer.status != 200:
+            assert answer.json()["error"]["ran"] == "unknown"
+
+
+def test_repeat_after_the_caller_left_gets_the_one_answer(hosts):
+    processes.put(hosts.plain.address, "/_faults", {"delay_s": 2.0})
+    first, second, _ = hosts.daemons
+    with pytest.raises(urllib3.exceptions.ReadTimeoutError):
+        book(first, timeout_s=1.0)
+    early = book(second)
+    assert early.json()["error"]["ran"] == "unknown"
+    assert book_until_answered(second).status == 200
+    assert len(runs(hosts)) == 1
+
+
+def freeze_between_claim_and_call(hosts, pool):
+    """Stops the first entry after its claim took effect, before the call.
+
+    Returns the key and the call that waits. Calls to a slow store wait for
+    each other, so the moment is not met with each try.
+    """
+    entry = hosts.daemons[0]
+    for number in range(8):
+        key = f"key-{number}"
+        before = has_claim(hosts)
+        processes.put(hosts.store.address, "/_faults", {"delay_s": STORE_S})
+        lost = pool.submit(book, entry, key)
+        time.sleep(1.5 * STORE_S)
+        entry.signal(signal.SIGSTOP)
+        processes.HTTP.request(
+            "DELETE", f"http://{hosts.store.address}/_faults"
+        )
+        time.sleep(2 * STORE_S)  # What is on its way takes effect.
+        if has_claim(hosts) != before and not runs(hosts, key):
+            return key, lost
+        entry.signal(signal.SIGCONT)
+        lost.result()
+    raise TimeoutError("the entry was never between claim and call")
+
+
+@pytest.mark.parametrize("fate", [signal.SIGKILL, signal.SIGCONT])
+def test_entry_lost_between_claim_and_call(hosts, fate):
+    first, second, _ = hosts.daemons
+    with futures.ThreadPoolExecutor(1) as pool:
+        key, lost = freeze_between_claim_and_call(hosts, pool)
+        assert book(second, key).json()["error"]["ran"] == "unknown"
+        time.sleep(FREEZE_S)
+        first.signal(fate)
+        if fate == signal.SIGKILL:
+            assert lost.exception() is not None
+            assert book(second, key).json()["error"]["ran"] == "unknown"
+            assert runs(hosts, key) == []
+            return
+        word = lost.result()
+    last = book_until_answered(second, key)
+    ran = runs(hosts, key)
+    assert len(ran) == (last.status == 200)
+    # What the first caller was told is true of its own attempt.
+    error = word.json()["error"]
+    assert (error["ran"], error["request_id"] in ran) == ("not_run", False)
+
+
+def test_entry_frozen_while_the_call_runs(hosts):
+    """The answer waits for the entry; a repeat elsewhere does not run."""
+    first, second, _ = hosts.daemons
+    processes.put(hosts.plain.address, "/_faults", {"delay_s": 1.0})
+    with futures.ThreadPoolExecutor(1) as pool:
+        lost = pool.submit(book, first)
+        processes.await_that(lambda: has_claim(hosts), 10, "no claim")
+        time.sleep(0.5)
+        first.signal(signal.SIGSTOP)
+        time.sleep(FREEZE_S)
+        assert book(second).json()["error"]["ran"] == "unknown"
+        first.signal(signal.SIGCONT)
+        lost.result()
+    assert book_until_answered(second).status == 200
+    assert len(runs(hosts)) == 1
