Use a replica again after a single failure when there is no other

Ruled out: a leak of memory (nothing was held). Change: an engine that answers has lost the request but works; a single failure leaves a replica out only while there are others; two in a row set it aside as before. A ledger test for both.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/decoding.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/decoding.py
@@ -19,6 +19,7 @@
 MAX_RESUMES = 5  # in a row, without a token in between
 RESUME_PAUSE_S = 0.1  # doubled with each resume in a row
 
+SERVER_ERROR = 500
 NOT_RUN_STATUSES = (409, 507)  # the engine says that it did not decode
 
 
@@ -140,9 +141,11 @@
             full = status != 409
             exclude = (self._grant.replica,) if full else ()
             return Failed(exclude, fault=False)
-        return outcomes.unknown(
-            outcomes.Reason.BACKEND_FAILED, f"the engine answered {status}"
-        )
+        # An engine that answers has lost this request, but it works.
+        reason = outcomes.Reason.BACKEND_REFUSED
+        if status >= SERVER_ERROR:
+            reason = outcomes.Reason.BACKEND_FAILED
+        return outcomes.unknown(reason, f"the engine answered {status}")
 
     def _not_opened(self, failed: http_calls.Failed) -> Failed | None:
         if failed.sent or self.output_tokens:
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/generate.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/generate.py
@@ -223,7 +223,8 @@
                     return
                 self._clean = isinstance(part, decoding.Finished)
                 if isinstance(part, outcomes.Refused):
-                    self._failed = not self._box.stopped
+                    failure = outcomes.Reason.BACKEND_FAILED
+                    self._failed = part.reason is failure
                 yield part
         finally:
             self._output_tokens = decode.output_tokens
--- a/packages/hemlockreel/hemlockreel/fleet.py
+++ b/packages/hemlockreel/hemlockreel/fleet.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 import math
 from typing import Literal
+from typing import TypeVar
 
 import msgspec
 
@@ -10,6 +11,8 @@
 from . import replicas
 from . import stations
 
+Engine = TypeVar("Engine", stations.Prefill, stations.Decode)
+
 
 class Report(msgspec.Struct, frozen=True):
     """What is used of an engine's load report."""
@@ -97,23 +100,30 @@
         self, exclude: Iterable[str], now: float
     ) -> list[stations.Prefill]:
         """Returns the prefill engines that may get new work."""
-        return [
-            station
-            for station in self.prefills.values()
-            if station.usable(now, self._freshest)
-            and station.address not in exclude
-        ]
+        return self._usable(self.prefills.values(), exclude, now)
 
     def usable_decodes(
         self, exclude: Iterable[str], now: float
     ) -> list[stations.Decode]:
         """Returns the decode engines that may get new work."""
-        return [
+        return self._usable(self.decodes.values(), exclude, now)
+
+    def _usable(
+        self, known: Iterable[Engine], exclude: Iterable[str], now: float
+    ) -> list[Engine]:
+        """Returns the engines that may get new work.
+
+        One that failed a single request is left out only while there are
+        others, since the fault may have been the request's own.
+        """
+        open_to = [
             station
-            for station in self.decodes.values()
+            for station in known
             if station.usable(now, self._freshest)
             and station.address not in exclude
         ]
+        steady = [x for x in open_to if not x.doubted(now)]
+        return steady or open_to
 
     def _take_role(self, address: str, role: replicas.Role) -> None:
         """Takes over the role that an engine reports."""
--- a/packages/hemlockreel/hemlockreel/stations.py
+++ b/packages/hemlockreel/hemlockreel/stations.py
@@ -46,12 +46,16 @@
         """Notes a request that the engine did its part for."""
         self._failures = 0
 
+    def doubted(self, now: float) -> bool:
+        """Returns whether it failed one request, a moment ago."""
+        return self._failures == 1 and now < self._back_at
+
     def usable(self, now: float, freshest: float) -> bool:
         """Returns whether the engine may get new work.
 
         ``freshest`` is the time of the newest report of any engine.
         """
-        if self.leaving or now < self._back_at:
+        if self.leaving or (now < self._back_at and not self.doubted(now)):
             return False
         if self.reported_at is None:
             return True
--- a/packages/hemlockreel/tests/test_ledger.py
+++ b/packages/hemlockreel/tests/test_ledger.py
@@ -333,3 +333,15 @@
     book.set_replicas([members[0], members[1]._replace(role=plain)])
     [denied] = book.submit(make_ask(1), 1, 0.0)
     assert denied.reason is outcomes.Reason.NO_BACKEND
+
+
+def test_only_replica_is_used_again_after_a_single_failure():
+    book = make_ledger(addresses=PREFILLS + DECODES[:1])
+    for number in (1, 2):
+        [granted] = book.submit(make_ask(number), number, number / 10)
+        assert isinstance(granted, decisions.Granted)
+        book.prefilled(number, number / 10)
+        book.ended(number, 0, True, number / 10)
+        book.release(number, number / 10)
+    [denied] = book.submit(make_ask(3), 3, 0.25)
+    assert isinstance(denied, decisions.Denied)
