Cause the death and the stop of readers in processes

A replica that leaves gets no call after 4 s while the first reader of the list is killed or stopped just as it may have learned; a change is in force within 4 s with silent watches, a slow store and both readers killed; hosts that are replaced during an outage of the store serve by the generation of their predecessors. Before: no test of processes for these.

--- /dev/null
+++ b/tests/test_readers.py
@@ -0,0 +1,162 @@
+"""Leaving replicas and configuration changes while their readers fail."""
+
+import json
+import signal
+import threading
+import time
+
+import pytest
+import urllib3
+
+from hemlockreel import rendezvous
+from hemlockreel_standins import processes
+
+BOUND_S = 4.0
+ZONES = ("trondheim-a", "trondheim-b", "orkanger")
+ROUTE = {"service": "ordrebok", "prefix": "/orders"}
+CALLERS = urllib3.PoolManager(retries=False, timeout=5.0, maxsize=4)
+
+
+@pytest.fixture
+def made():
+    with processes.Deployment("midt-norge") as found:
+        for zone in ZONES:
+            found.add_replica("ordrebok", zone, "plain")
+        found.apply("routes", "ordrebok", ROUTE)
+        for index in range(5):
+            found.add_daemon(ZONES[index % 3])
+        for daemon in found.daemons:
+            daemon.await_ready()
+        processes.await_that(
+            lambda: all(
+                len(daemon.status()["members"]) == 5
+                for daemon in found.daemons
+            ),
+            15.0,
+            "the daemons do not find each other",
+        )
+        yield found
+
+
+def reader(made, source, place=0):
+    by_peer = {daemon.peers: daemon for daemon in made.daemons}
+    return by_peer[rendezvous.rank(source, by_peer)[place]]
+
+
+def kill(daemon):
+    daemon.kill()
+
+
+def stop(daemon):
+    daemon.signal(signal.SIGSTOP)
+
+
+def spare(daemon):
+    """Leaves the daemon alone."""
+
+
+class Load:
+    """Reads through ``daemon`` until the end of the block."""
+
+    def __init__(self, daemon):
+        self.daemon = daemon
+        self.statuses = []
+        self._ending = threading.Event()
+        self._thread = threading.Thread(target=self._run)
+
+    def __enter__(self):
+        self._thread.start()
+        return self
+
+    def __exit__(self, *details):
+        self._ending.set()
+        self._thread.join()
+
+    def _run(self):
+        url = f"http://{self.daemon.callers}/orders/stock"
+        while not self._ending.wait(0.02):
+            try:
+                answer = CALLERS.request("GET", url)
+                self.statuses.append(answer.status)
+            except urllib3.exceptions.HTTPError:
+                self.statuses.append(0)
+
+
+def runs_at(host):
+    return len(processes.get(host["address"], "/_journal")["runs"])
+
+
+@pytest.mark.parametrize(
+    ("fault", "delay_s"), [(spare, 0.0), (kill, 0.5), (stop, 0.5)]
+)
+def test_leaving_replica_gets_nothing_after_the_bound(made, fault, delay_s):
+    victim = reader(made, "hosts/")
+    survivor = next(one for one in made.daemons if one is not victim)
+    plain = [host for host in made.hosts if host["role"] == "plain"]
+    with Load(survivor) as load:
+        processes.await_that(lambda: any(map(runs_at, plain)), 5.0, "no work")
+        leaving = max(plain, key=runs_at)
+        leaving["state"] = "leaving"
+        made.write_hosts()
+        time.sleep(delay_s)
+        fault(victim)
+        time.sleep(BOUND_S - delay_s)
+        before = runs_at(leaving)
+        answered = len(load.statuses)
+        time.sleep(3.0)
+        assert runs_at(leaving) == before
+    assert 200 in load.statuses[answered:]
+
+
+def generations(made):
+    return [
+        daemon.status()["generation"]
+        for daemon in made.daemons
+        if daemon.running
+    ]
+
+
+def change_in_time(made, weight):
+    before = max(generations(made))
+    made.apply("quotas", "acme", {"weight": weight})
+    processes.await_that(
+        lambda: min(generations(made)) > before,
+        BOUND_S,
+        f"not everywhere: {before}, {generations(made)}",
+    )
+
+
+def set_faults(made, **faults):
+    processes.put(made.store.address, "/_faults", faults)
+
+
+@pytest.mark.parametrize(
+    "faults", [{}, {"freeze_watches": True}, {"delay_s": 0.2}], ids=json.dumps
+)
+def test_change_is_in_force_in_time(made, faults):
+    set_faults(made, **faults)
+    for weight in (2.0, 3.0, 4.0):
+        change_in_time(made, weight)
+        time.sleep(0.7)
+
+
+def test_change_is_in_force_in_time_without_its_readers(made):
+    victims = [reader(made, "configuration", place) for place in (0, 1)]
+    for victim in victims:
+        victim.kill()
+    made.daemons = [one for one in made.daemons if one not in victims]
+    change_in_time(made, 2.0)
+
+
+def test_hosts_are_replaced_while_the_store_is_down(made):
+    change_in_time(made, 2.0)
+    generation = max(generations(made))
+    set_faults(made, outage=True)
+    for _ in range(5):
+        # A new host comes before the old one goes, as in a planned change.
+        made.add_daemon(ZONES[0]).await_ready()
+        old = made.daemons.pop(0)
+        old.kill()
+        assert set(generations(made)) == {generation}
+    set_faults(made, outage=False)
+    change_in_time(made, 3.0)
