--- a/packages/hemlockreel/hemlockreel/actions.py
+++ b/packages/hemlockreel/hemlockreel/actions.py
@@ -16,6 +16,15 @@
     message: messages.Message
 
 
+class Redial(NamedTuple):
+    """Opens a new connection to the peer ``to`` for what is sent next.
+
+    The present one may have lost its other end without a sign of it.
+    """
+
+    to: str
+
+
 class Tell(NamedTuple):
     """Hands ``value`` to the worker that waits for ``request_id``.
 
@@ -52,7 +61,8 @@
     """Calls a model engine; answered by ``events.EngineAnswered``.
 
     ``operation`` is ``load``, ``cancel``, ``requests``, ``cache/events`` or
-    ``orders``; a call with a ``body`` is a POST.
+    ``orders``; a call with a ``body`` is a POST. After ``not_after``, on the
+    clock of the core, the call is not made any more.
     """
 
     call_id: str
@@ -61,6 +71,7 @@
     body: dict[str, Any] | None = None
     query: str = ""
     timeout_s: float = 1.0
+    not_after: float | None = None
 
 
 class Count(NamedTuple):
@@ -94,6 +105,7 @@
 
 Action = (
     Send
+    | Redial
     | Tell
     | CallStore
     | ListHosts
--- a/standins/hemlockreel_standins/fleet_fabric.py
+++ b/standins/hemlockreel_standins/fleet_fabric.py
@@ -35,12 +35,16 @@
     does not reach.
     """
 
-    def __init__(self, daemons: int = 4, seed: int = 1):
+    def __init__(
+        self,
+        daemons: int = 4,
+        seed: int = 1,
+        pool: dict[str, Any] | None = None,
+    ):
         self.fabric = fabric.Fabric(seed)
         self.fabric.call = self._call
         self.store = store.Store()
-        path = "/v1/objects/modelpools/lesar"
-        self._store(actions.CallStore("operator", "PUT", path, POOL))
+        self.declare("modelpools", "lesar", {**POOL, **(pool or {})})
         self.held: dict[str, set[str]] = {}
         self.drop_cancels: set[str] = set()
         self.silent: set[str] = set()
@@ -57,6 +61,12 @@
             self.start(index)
         self.fabric.run(4.0)
 
+    def declare(self, kind: str, name: str, value: dict[str, Any]) -> None:
+        """Writes an object as an operator does."""
+        path = f"/v1/objects/{kind}/{name}"
+        call = actions.CallStore("operator", "PUT", path, value)
+        store_calls.perform(self.store, call)
+
     def start(self, index: int, run: int = 1) -> None:
         """Starts a daemon, or a new run of it."""
         epoch = 1000 * run + index
@@ -145,8 +155,7 @@
 
     def _store(self, action: actions.CallStore) -> Any:
         if action.path.startswith("/v1/watch"):
-            body = {"revision": self.store.revision, "events": []}
-            return events.StoreAnswered(action.call_id, 200, body)
+            return None  # A watch that nothing comes from.
         return store_calls.perform(self.store, action)
 
     def _engine(self, at: str, action: actions.CallEngine) -> Any:
