Learn from the engines how much of a prefix they keep

Ruled out: affinity as such. Change: the load tool hands on cache events as the daemon does, and a prefill that finds less cached than believed shrinks the hints that are kept.

--- a/packages/hemlockreel/hemlockreel/affinity.py
+++ b/packages/hemlockreel/hemlockreel/affinity.py
@@ -4,7 +4,10 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 
-CAPACITY = 4096  # hints kept per replica
+CAPACITY = 4096  # most hints kept per replica
+MIN_CAPACITY = 32
+SHRINK = 0.9  # factor on the hints that are kept after a wrong one
+GROW = 1.02  # the same after a right one
 
 
 class PrefixHints:
@@ -43,10 +46,17 @@
         while len(self._known) > self.capacity:
             self._known.popitem(last=False)
 
-    def correct(self, prefixes: Sequence[int], cached_blocks: int) -> None:
-        """Takes over how many blocks a prefill really found cached."""
-        for prefix in prefixes[cached_blocks:]:
-            self._known.pop(prefix, None)
+    def correct(self, believed: int, found: int) -> None:
+        """Learns from a prefill how much the replica really keeps.
+
+        ``believed`` blocks were thought to be cached and ``found`` were. The
+        oldest hints are dropped when they turn out to be wrong.
+        """
+        if found < believed:
+            size = int(len(self._known) * SHRINK)
+            self.capacity = max(MIN_CAPACITY, size)
+        elif believed:
+            self.capacity = min(CAPACITY, int(self.capacity * GROW) + 1)
 
     def apply(self, events: Iterable[dict]) -> None:
         """Takes over cache events, see docs/design/protocols.md."""
--- a/packages/hemlockreel/hemlockreel/ledger.py
+++ b/packages/hemlockreel/hemlockreel/ledger.py
@@ -157,8 +157,10 @@
         place.prefilled_at = now
         station = self._choices[grant_id].prefill
         prefixes = place.ask.prefixes
+        believed = station.cached_tokens(prefixes)
         if cached_tokens is None:
-            cached_tokens = station.cached_tokens(prefixes)
+            cached_tokens = believed
+        station.hints.correct(believed, cached_tokens)
         ran_s = station.leave(grant_id, now)
         if ran_s is not None:
             station.learn(place.ask.prompt_tokens - cached_tokens, ran_s)
--- /dev/null
+++ b/packages/hemlockreel/tests/test_affinity.py
@@ -0,0 +1,25 @@
+from hemlockreel import affinity
+
+
+def test_longest_known_prefix_is_found():
+    hints = affinity.PrefixHints()
+    hints.add([1, 2, 3])
+    assert [hints.match(x) for x in ([1, 2, 9], [9, 2], [])] == [2, 0, 0]
+
+
+def test_cache_events_are_followed():
+    hints = affinity.PrefixHints()
+    hints.apply([{"type": "stored", "prefix": x} for x in (1, 2)])
+    hints.apply([{"type": "evicted", "prefix": 2}])
+    assert hints.match([1, 2]) == 1
+
+
+def test_wrong_hints_teach_how_much_a_replica_keeps():
+    hints = affinity.PrefixHints()
+    kept = 100  # blocks that the replica's cache really holds
+    for number in range(400):
+        hints.add([number])
+        oldest = max(0, number - kept)
+        hints.correct(hints.match([oldest]), 0)
+    assert hints.capacity <= kept
+    assert hints.match([399]) == 1
--- a/standins/hemlockreel_standins/baseline.py
+++ b/standins/hemlockreel_standins/baseline.py
@@ -8,6 +8,7 @@
 import random
 
 from hemlockreel import decisions
+from hemlockreel import ledger
 from hemlockreel import messages
 from hemlockreel import replicas
 
@@ -48,6 +49,9 @@
     def set_load(self, address: str, load: dict, now: float) -> None:
         """Does nothing."""
 
+    def set_cache_events(self, address: str, events: Iterable[dict]) -> None:
+        """Does nothing."""
+
     def prefilled(self, grant_id: int, now: float, cached=None) -> None:
         """Does nothing."""
 
@@ -94,6 +98,16 @@
         return super()._pick(two, turn)
 
 
+class NoAffinity(ledger.Ledger):
+    """The ledger without hints about cached prefixes."""
+
+    def set_replicas(self, members: Iterable[replicas.Replica]) -> None:
+        """Takes over the replicas of the shard."""
+        super().set_replicas(members)
+        for station in self.fleet.prefills.values():
+            station.hints.capacity = 0
+
+
 def _addresses(
     members: list[replicas.Replica], role: replicas.Role
 ) -> list[str]:
--- a/standins/hemlockreel_standins/bench.py
+++ b/standins/hemlockreel_standins/bench.py
@@ -24,6 +24,7 @@
 CALL_S = 0.001  # one way between entry and engine
 TICK_S = 0.1
 LOAD_PERIOD_S = 0.5
+CACHE_PERIOD_S = 1.0
 MEMORY_RETRY_S = 0.05
 PATIENCE_S = 10.0  # a caller that sees no token for this long has gone
 MAX_ATTEMPTS = 2
@@ -89,6 +90,7 @@
             self.at(call.at, self._arrive, call, 0)
         self._tick()
         self._report()
+        self._read_caches({})
         while self._events and self._events[0][0] <= end:
             self.now, _, what, args = heapq.heappop(self._events)
             what(*args)
@@ -165,6 +167,15 @@
                 self.policy.set_load(address, engine.load(self.now), self.now)
         self.at(self.now + LOAD_PERIOD_S, self._report)
 
+    def _read_caches(self, seqs: dict[str, int]) -> None:
+        """Hands the engines' cache events to the owner."""
+        for address, engine in self.engines.items():
+            if engine.role == "prefill" and address not in self.dead:
+                found = engine.cache.events(seqs.get(address, 0), self.now)
+                seqs[address] = found["seq"]
+                self.policy.set_cache_events(address, found["events"])
+        self.at(self.now + CACHE_PERIOD_S, self._read_caches, seqs)
+
     def _watch(self, address: str) -> None:
         """Sees to it that the engine is advanced when something happens."""
         due = self.engines[address].next_at()
--- a/standins/hemlockreel_standins/measure.py
+++ b/standins/hemlockreel_standins/measure.py
@@ -40,6 +40,10 @@
     make: Callable[[workload.Profile], Any]
 
 
+def _no_affinity(profile: workload.Profile) -> ledger.Ledger:
+    return baseline.NoAffinity(profile.pool)
+
+
 def _ledger(profile: workload.Profile, **changed: Any) -> ledger.Ledger:
     return ledger.Ledger(msgspec.structs.replace(profile.pool, **changed))
 
@@ -66,6 +70,7 @@
     Setup("reserve", functools.partial(_ledger, overcommit=0.0)),
     Setup("ahead 0.3", functools.partial(_ledger, overcommit=0.3)),
     Setup("ahead 0.9", functools.partial(_ledger, overcommit=0.9)),
+    Setup("adaptive, no affinity", _no_affinity),
     Setup("adaptive", functools.partial(_ledger, overcommit="adaptive")),
 )
 NAIVE = POLICIES[0]
--- a/standins/hemlockreel_standins/workload.py
+++ b/standins/hemlockreel_standins/workload.py
@@ -43,6 +43,7 @@
     prompt: Lengths
     output: Lengths
     organisations: int = 40
+    shared_blocks: int = 8
     deferrable_share: float = 0.0
 
 
@@ -106,6 +107,15 @@
     prompt=Lengths(4000, 0.6, 500, 28000),
     output=Lengths(50, 0.5, 4, 400),
 )
+SHARED_PREFIXES = FJELLPULVER._replace(
+    name="shared prefixes",
+    prefills=5,
+    decodes=3,
+    engine=engine_model.Settings(cache_blocks=128, prefill_tokens_per_s=4000),
+    prompt=Lengths(400, 1.0, 20, 20000),
+    output=Lengths(60, 0.8, 4, 1024),
+    shared_blocks=32,
+)
 PROFILES = {
     profile.name: profile
     for profile in (
@@ -114,6 +124,7 @@
         LETTER,
         SHORT_PROMPTS,
         LONG_PROMPTS,
+        SHARED_PREFIXES,
     )
 }
 
@@ -128,7 +139,7 @@
         self._names = [f"org-{x}" for x in range(profile.organisations)]
         self._sizes = [1 / (x + 1) for x in range(profile.organisations)]
         self._shared = {
-            name: self._rng.randint(0, 8 * BLOCK_TOKENS)
+            name: self._rng.randint(0, profile.shared_blocks * BLOCK_TOKENS)
             for name in self._names
         }
 
