--- a/standins/hemlockreel_standins/bench.py
+++ b/standins/hemlockreel_standins/bench.py
@@ -9,14 +9,13 @@
 import heapq
 import itertools
 import math
-import random
 from typing import Any
 
 from hemlockreel import decisions
-from hemlockreel import messages
 from hemlockreel import replicas
 
 from . import engine_model
+from . import jobs
 from . import tally as tallies
 from . import workload
 
@@ -30,21 +29,6 @@
 MAX_ATTEMPTS = 2
 
 
-class Job:
-    """One try of a call on its way through the shard."""
-
-    def __init__(self, call: workload.Call, asked_at: float, tries: int):
-        self.call = call
-        self.asked_at = asked_at
-        self.tries = tries
-        self.attempt = 1
-        self.grant: decisions.Granted | None = None
-        self.prefill_tokens = 0
-        self.handle = ""
-        self.first_at: float | None = None
-        self.over = False
-
-
 class Bench:
     """One run of a policy under a load."""
 
@@ -53,7 +37,6 @@
         profile: workload.Profile,
         policy: Any,
         tally: tallies.Tally,
-        seed: int,
     ):
         self.profile = profile
         self.policy = policy
@@ -66,20 +49,13 @@
         self._numbers = itertools.count()
         self._grants = itertools.count(1)
         self._wakes: dict[str, float] = {}
-        self._jobs: dict[str, Job] = {}
-        self._by_grant: dict[int, Job] = {}
-        self._rng = random.Random(seed)
+        self._jobs: dict[str, jobs.Job] = {}
         roles = [replicas.Role.PREFILL] * profile.prefills
         roles += [replicas.Role.DECODE] * profile.decodes
         for index, role in enumerate(roles):
             self._add_engine(f"10.0.0.{index + 1}:80", role)
         self.policy.set_replicas(self._members.values())
 
-    @property
-    def jobs(self) -> Iterable[Job]:
-        """The tries that are under way."""
-        return self._jobs.values()
-
     def at(self, when: float, what: Callable, *args: Any) -> None:
         """Calls ``what`` at a time."""
         heapq.heappush(self._events, (when, next(self._numbers), what, args))
@@ -206,16 +182,9 @@
     # A call on its way
 
     def _arrive(self, call: workload.Call, tries: int) -> None:
-        job = Job(call, self.now, tries)
-        name = f"{call.request_id}.{tries}"
-        self._jobs[name] = job
-        if self.tally.counted(call.at):
-            self.tally.counts["tries"] += 1
-            self.tally.counts["returned"] += tries == 1
-            self.tally.counts["calls"] += tries == 0
-            self.tally.counts["deferrable"] += (
-                call.klass == "deferrable" and tries == 0
-            )
+        job = jobs.Job(call, self.now, tries)
+        self._jobs[job.name] = job
+        self.tally.asked(call, tries)
         self.at(self.now + HOP_S, self._submit, job)
         if call.cancel_after_s < math.inf:
             self.at(self.now + call.cancel_after_s, self._leave, job)
@@ -225,30 +194,10 @@
             )
             self.at(self.now + patience_s, self._lose_patience, job)
 
-    def _name(self, job: Job) -> str:
-        return f"{job.call.request_id}.{job.tries}"
-
-    def _submit(self, job: Job) -> None:
+    def _submit(self, job: jobs.Job) -> None:
         if job.over:
             return
-        call = job.call
-        pool = self.profile.pool
-        deadline_s = pool.first_token_ms / 1000 - (self.now - job.asked_at)
-        if call.klass == "deferrable":
-            deadline_s = pool.deferrable_wait_s
-        ask = messages.Ask(
-            sender="entry",
-            epoch=1,
-            request_id=self._name(job),
-            attempt=job.attempt,
-            shard="lesar@midt-norge/0",
-            organisation=call.organisation,
-            klass=call.klass,
-            prompt_tokens=call.prompt_tokens,
-            output_tokens=call.max_tokens,
-            prefixes=list(call.prefixes),
-            deadline_s=max(deadline_s, 0.001),
-        )
+        ask = jobs.make_ask(job, self.profile.pool, self.now)
         grant_id = next(self._grants)
         self._obey(self.policy.submit(ask, grant_id, self.now))
 
@@ -261,27 +210,17 @@
                 continue
             if isinstance(decision, decisions.Granted):
                 job.grant = decision
-                self._by_grant[decision.grant_id] = job
                 delay_s = HOP_S + CALL_S
                 self.at(self.now + delay_s, self._prefill, job, decision)
             else:
                 self._refused(job, decision)
 
-    def _refused(self, job: Job, denied: decisions.Denied) -> None:
+    def _refused(self, job: jobs.Job, denied: decisions.Denied) -> None:
         self._close(job)
         call = job.call
-        counts = self.tally.counted(call.at)
-        if counts:
-            self.tally.refusals[denied.reason.value] += 1
-            self.tally.counts["refused"] += job.tries == 0
-            self.tally.counts["returned refused"] += job.tries == 1
-            if call.klass == "deferrable":
-                self.tally.counts["deferrable refused"] += 1
-                self.tally.counts["deferrable given up"] += not call.follows
-        if call.follows and denied.retry_after_s:
-            if counts:
-                self.tally.counts["told"] += 1
-                self.tally.counts["followers"] += job.tries == 0
+        returns = call.follows and denied.retry_after_s > 0
+        self.tally.refused(call, job.tries, denied.reason.value, returns)
+        if returns:
             self.at(
                 self.now + denied.retry_after_s,
                 self._arrive,
@@ -289,7 +228,7 @@
                 job.tries + 1,
             )
 
-    def _prefill(self, job: Job, grant: decisions.Granted) -> None:
+    def _prefill(self, job: jobs.Job, grant: decisions.Granted) -> None:
         if job.over or job.grant is not grant:
             return
         if grant.prefill in self.dead:
@@ -298,7 +237,7 @@
         call = job.call
         job.prefill_tokens = call.prompt_tokens
         job.handle = self.engines[grant.prefill].prefill(
-            self._name(job),
+            job.name,
             job.attempt,
             call.prompt_tokens,
             call.prefixes,
@@ -307,7 +246,7 @@
         )
         self._watch(grant.prefill)
 
-    def _prefilled(self, job: Job, done: engine_model.Prefill) -> None:
+    def _prefilled(self, job: jobs.Job, done: engine_model.Prefill) -> None:
         if job.over or job.grant is None or done.handle != job.handle:
             return
         grant_id = job.grant.grant_id
@@ -325,7 +264,7 @@
         what(grant_id, self.now, *args)
         self._obey(self.policy.decide(self.now))
 
-    def _decode(self, job: Job, grant: decisions.Granted) -> None:
+    def _decode(self, job: jobs.Job, grant: decisions.Granted) -> None:
         if job.over or job.grant is not grant:
             return
         prefill = self.engines[grant.prefill]
@@ -338,7 +277,7 @@
         call = job.call
         decode = self.engines[grant.replica]
         reserved = decode.reserve(
-            self._name(job),
+            job.name,
             job.attempt,
             call.prompt_tokens,
             call.max_tokens,
@@ -354,13 +293,13 @@
             return
         self.at(export.ends_at, self._start, job, grant)
 
-    def _start(self, job: Job, grant: decisions.Granted) -> None:
+    def _start(self, job: jobs.Job, grant: decisions.Granted) -> None:
         if job.over or job.grant is not grant:
             return
-        self.engines[grant.replica].start(self._name(job), self.now)
+        self.engines[grant.replica].start(job.name, self.now)
         self._watch(grant.replica)
 
-    def _first(self, job: Job) -> None:
+    def _first(self, job: jobs.Job) -> None:
         if job.over or job.first_at is not None:
             return
         job.first_at = self.now
@@ -372,7 +311,7 @@
             job.grant.grant_id,
         )
 
-    def _last(self, job: Job) -> None:
+    def _last(self, job: jobs.Job) -> None:
         if job.over:
             return
         call = job.call
@@ -391,7 +330,7 @@
 
     # Ends
 
-    def _leave(self, job: Job) -> None:
+    def _leave(self, job: jobs.Job) -> None:
         """The caller closes its connection."""
         if job.over:
             return
@@ -402,18 +341,18 @@
             )
         self._cancel(job)
 
-    def _lose_patience(self, job: Job) -> None:
+    def _lose_patience(self, job: jobs.Job) -> None:
         if not job.over and job.first_at is None:
             if self.tally.counted(job.call.at):
                 self.tally.counts["gave up"] += 1
             self._cancel(job)
 
-    def _cancel(self, job: Job) -> None:
+    def _cancel(self, job: jobs.Job) -> None:
         if job.grant is None:
-            self.policy.withdraw(self._name(job), job.attempt)
+            self.policy.withdraw(job.name, job.attempt)
         self._close(job)
 
-    def _fail(self, job: Job, why: str, failed: bool = False) -> None:
+    def _fail(self, job: jobs.Job, why: str, failed: bool = False) -> None:
         """A try came to nothing; the entry asks once more.
 
         ``failed`` says that a replica did not do its part.
@@ -421,17 +360,19 @@
         if self.tally.counted(job.call.at):
             self.tally.counts[why] += 1
         self._close(job, failed=failed)
-        again = Job(job.call, job.asked_at, job.tries)
+        again = jobs.Job(job.call, job.asked_at, job.tries)
         again.attempt = job.attempt + 1
         if again.attempt > MAX_ATTEMPTS or job.first_at is not None:
             return
-        self._jobs[self._name(job)] = again
+        self._jobs[job.name] = again
         self.at(self.now + HOP_S, self._submit, again)
 
-    def _close(self, job: Job, tokens: int = 0, failed: bool = False) -> None:
+    def _close(
+        self, job: jobs.Job, tokens: int = 0, failed: bool = False
+    ) -> None:
         """Frees all that a try holds."""
         job.over = True
-        del self._jobs[self._name(job)]
+        del self._jobs[job.name]
         grant = job.grant
         if grant is None:
             return
@@ -439,7 +380,7 @@
             self.tally.prefilled(job.prefill_tokens, False, job.asked_at)
         for address in (grant.prefill, grant.replica):
             if address not in self.dead:
-                self.engines[address].cancel(self._name(job), self.now)
+                self.engines[address].cancel(job.name, self.now)
                 self._watch(address)
         self.at(self.now + HOP_S, self._release, grant, tokens, failed)
 
--- /dev/null
+++ b/standins/hemlockreel_standins/jobs.py
@@ -0,0 +1,48 @@
+"""The tries of calls on their way through the load tool."""
+
+from hemlockreel import decisions
+from hemlockreel import messages
+from hemlockreel import objects
+
+from . import workload
+
+
+class Job:
+    """One try of a call on its way through the shard."""
+
+    def __init__(self, call: workload.Call, asked_at: float, tries: int):
+        self.call = call
+        self.asked_at = asked_at
+        self.tries = tries
+        self.attempt = 1
+        self.grant: decisions.Granted | None = None
+        self.prefill_tokens = 0
+        self.handle = ""
+        self.first_at: float | None = None
+        self.over = False
+
+    @property
+    def name(self) -> str:
+        """The request id of this try."""
+        return f"{self.call.request_id}.{self.tries}"
+
+
+def make_ask(job: Job, pool: objects.ModelPool, now: float) -> messages.Ask:
+    """Returns what the entry asks the owner for."""
+    call = job.call
+    deadline_s = pool.first_token_ms / 1000 - (now - job.asked_at)
+    if call.klass == "deferrable":
+        deadline_s = pool.deferrable_wait_s
+    return messages.Ask(
+        sender="entry",
+        epoch=1,
+        request_id=job.name,
+        attempt=job.attempt,
+        shard="lesar@midt-norge/0",
+        organisation=call.organisation,
+        klass=call.klass,
+        prompt_tokens=call.prompt_tokens,
+        output_tokens=call.max_tokens,
+        prefixes=list(call.prefixes),
+        deadline_s=max(deadline_s, 0.001),
+    )
--- a/standins/hemlockreel_standins/measure.py
+++ b/standins/hemlockreel_standins/measure.py
@@ -106,14 +106,13 @@
     rate = load * workload.capacity(profile)
     times = workload.arrivals(rate, 0.0, end, rng)
     calls = [source.draw(at) for at in times]
-    return play_calls(profile, setup, [*calls, *extra], seed, prepare)
+    return play_calls(profile, setup, [*calls, *extra], prepare)
 
 
 def play_calls(
     profile: workload.Profile,
     setup: Setup,
     calls: Iterable[workload.Call],
-    seed: int,
     prepare: scenarios.Prepare | None = None,
     end: float = 0.0,
 ) -> tallies.Figures:
@@ -124,7 +123,7 @@
     )
     end = end or WARM_UP_S + RUN_S
     tally = tallies.Tally(targets, WARM_UP_S, end)
-    made = bench.Bench(profile, setup.make(profile), tally, seed)
+    made = bench.Bench(profile, setup.make(profile), tally)
     if prepare is not None:
         prepare(made)
     made.run(calls, end + DRAIN_S)
@@ -150,7 +149,7 @@
     end = scenarios.DAY_S
     calls = scenarios.evening(profile, best, end, position, seed)
     prepare = scenarios.balanced if balanced else None
-    return play_calls(profile, ADAPTIVE, calls, seed, prepare, end)
+    return play_calls(profile, ADAPTIVE, calls, prepare, end)
 
 
 class Seeds:
--- a/standins/hemlockreel_standins/tally.py
+++ b/standins/hemlockreel_standins/tally.py
@@ -5,6 +5,8 @@
 
 from hdrh import histogram
 
+from . import workload
+
 HIGHEST_MS = 600_000
 
 
@@ -80,6 +82,32 @@
         if not used:
             self.wasted_tokens += tokens
 
+    def asked(self, call: workload.Call, tries: int) -> None:
+        """Counts a try of a call, of which ``tries`` came before."""
+        if not self.counted(call.at):
+            return
+        self.counts["tries"] += 1
+        self.counts["returned"] += tries == 1
+        self.counts["calls"] += tries == 0
+        deferrable = call.klass == "deferrable"
+        self.counts["deferrable"] += deferrable and tries == 0
+
+    def refused(
+        self, call: workload.Call, tries: int, reason: str, returns: bool
+    ) -> None:
+        """Counts a refusal; ``returns`` if the caller will come back."""
+        if not self.counted(call.at):
+            return
+        self.refusals[reason] += 1
+        self.counts["refused"] += tries == 0
+        self.counts["returned refused"] += tries == 1
+        if call.klass == "deferrable":
+            self.counts["deferrable refused"] += 1
+            self.counts["deferrable given up"] += not call.follows
+        if returns:
+            self.counts["told"] += 1
+            self.counts["followers"] += tries == 0
+
     def answered(
         self,
         organisation: str,
