--- a/standins/hemlockreel_standins/measure.py
+++ b/standins/hemlockreel_standins/measure.py
@@ -40,6 +40,10 @@
     make: Callable[[workload.Profile], Any]
 
 
+def _no_affinity(profile: workload.Profile) -> ledger.Ledger:
+    return baseline.NoAffinity(profile.pool)
+
+
 def _ledger(profile: workload.Profile, **changed: Any) -> ledger.Ledger:
     return ledger.Ledger(msgspec.structs.replace(profile.pool, **changed))
 
@@ -66,6 +70,7 @@
     Setup("reserve", functools.partial(_ledger, overcommit=0.0)),
     Setup("ahead 0.3", functools.partial(_ledger, overcommit=0.3)),
     Setup("ahead 0.9", functools.partial(_ledger, overcommit=0.9)),
+    Setup("adaptive, no affinity", _no_affinity),
     Setup("adaptive", functools.partial(_ledger, overcommit="adaptive")),
 )
 NAIVE = POLICIES[0]
@@ -101,14 +106,13 @@
     rate = load * workload.capacity(profile)
     times = workload.arrivals(rate, 0.0, end, rng)
     calls = [source.draw(at) for at in times]
-    return play_calls(profile, setup, [*calls, *extra], seed, prepare)
+    return play_calls(profile, setup, [*calls, *extra], prepare)
 
 
 def play_calls(
     profile: workload.Profile,
     setup: Setup,
     calls: Iterable[workload.Call],
-    seed: int,
     prepare: scenarios.Prepare | None = None,
     end: float = 0.0,
 ) -> tallies.Figures:
@@ -119,7 +123,7 @@
     )
     end = end or WARM_UP_S + RUN_S
     tally = tallies.Tally(targets, WARM_UP_S, end)
-    made = bench.Bench(profile, setup.make(profile), tally, seed)
+    made = bench.Bench(profile, setup.make(profile), tally)
     if prepare is not None:
         prepare(made)
     made.run(calls, end + DRAIN_S)
@@ -145,7 +149,7 @@
     end = scenarios.DAY_S
     calls = scenarios.evening(profile, best, end, position, seed)
     prepare = scenarios.balanced if balanced else None
-    return play_calls(profile, ADAPTIVE, calls, seed, prepare, end)
+    return play_calls(profile, ADAPTIVE, calls, prepare, end)
 
 
 class Seeds:
