--- a/packages/hemlockreel/hemlockreel/drain.py
+++ b/packages/hemlockreel/hemlockreel/drain.py
@@ -11,12 +11,13 @@
 
 from . import actions
 from . import board as boards
-from . import cancels
 from . import claims
 from . import entry
 from . import events
+from . import grants
 from . import membership
 
+HANDOVER_S = 5.0  # the longest wait for others to take the grants over
 ADDRESS_TTL_S = 5.0  # how long callers keep an answer about addresses
 SPREAD_S = 2.0  # until all members leave this daemon out of their answers
 SETTLE_S = 3.0  # for claims and cancels that the platform does not confirm
@@ -32,7 +33,6 @@
     def __init__(self):
         self.closes_at: float | None = None
         self.idle_at: float | None = None
-        self.told = False
         self.left = False
 
 
@@ -62,18 +62,6 @@
     yield actions.Log("draining", {"host": board.identity.host})
 
 
-@handle.register
-def _tick(
-    event: events.Tick, board: boards.Board, now: float
-) -> Iterable[actions.Action]:
-    """Tells the members, once the membership has taken over the change."""
-    state = board.state(State)
-    if state.closes_at is not None and not state.told:
-        state.told = True
-        update = membership.own_update(board)
-        yield from membership.tell_all(board, update)
-
-
 @handle.register
 def _counted(
     event: events.CallersCounted, board: boards.Board, now: float
@@ -87,13 +75,13 @@
         return
     if state.idle_at is None:
         state.idle_at = now
-    if _is_settled(board) or now >= state.idle_at + SETTLE_S:
+    patience = max(state.closes_at + HANDOVER_S, state.idle_at + SETTLE_S)
+    if _is_settled(board) or now >= patience:
         state.left = True
         yield from membership.leave(board)
         yield actions.Exit()
 
 
 def _is_settled(board: boards.Board) -> bool:
-    """Returns whether neither a claim nor a cancel waits for an answer."""
-    cancelling = board.state(cancels.State).pending
-    return not (cancelling or claims.is_recording(board))
+    """Returns whether nothing waits for other daemons or the platform."""
+    return grants.is_idle(board) and not claims.is_recording(board)
