--- a/packages/hemlockreel/hemlockreel/drain.py
+++ b/packages/hemlockreel/hemlockreel/drain.py
@@ -17,10 +17,9 @@
 from . import grants
 from . import membership
 
-HANDOVER_S = 5.0  # the longest wait for others to take the grants over
 ADDRESS_TTL_S = 5.0  # how long callers keep an answer about addresses
 SPREAD_S = 2.0  # until all members leave this daemon out of their answers
-SETTLE_S = 3.0  # for claims and cancels that the platform does not confirm
+SETTLE_S = 5.0  # for claims, cancels and grants that others take over
 
 
 class State:
@@ -75,13 +74,12 @@
         return
     if state.idle_at is None:
         state.idle_at = now
-    patience = max(state.closes_at + HANDOVER_S, state.idle_at + SETTLE_S)
-    if _is_settled(board) or now >= patience:
+    if _is_settled(board) or now >= state.idle_at + SETTLE_S:
         state.left = True
         yield from membership.leave(board)
         yield actions.Exit()
 
 
 def _is_settled(board: boards.Board) -> bool:
-    """Returns whether nothing waits for other daemons or the platform."""
+    """Returns whether no claim, cancel or grant waits for somebody else."""
     return grants.is_idle(board) and not claims.is_recording(board)
--- a/standins/hemlockreel_standins/fleet_fabric.py
+++ b/standins/hemlockreel_standins/fleet_fabric.py
@@ -14,6 +14,8 @@
 from hemlockreel import replicas
 
 from . import fabric
+from . import store
+from . import store_calls
 
 ZONES = ("trondheim-a", "trondheim-b", "orkanger")
 POOL = {"service": "lesar", "model": "lesar-7b"}
@@ -33,9 +35,16 @@
     does not reach.
     """
 
-    def __init__(self, daemons: int = 4, seed: int = 1):
+    def __init__(
+        self,
+        daemons: int = 4,
+        seed: int = 1,
+        pool: dict[str, Any] | None = None,
+    ):
         self.fabric = fabric.Fabric(seed)
         self.fabric.call = self._call
+        self.store = store.Store()
+        self.declare("modelpools", "lesar", {**POOL, **(pool or {})})
         self.held: dict[str, set[str]] = {}
         self.drop_cancels: set[str] = set()
         self.silent: set[str] = set()
@@ -52,6 +61,12 @@
             self.start(index)
         self.fabric.run(4.0)
 
+    def declare(self, kind: str, name: str, value: dict[str, Any]) -> None:
+        """Writes an object as an operator does."""
+        path = f"/v1/objects/{kind}/{name}"
+        call = actions.CallStore("operator", "PUT", path, value)
+        store_calls.perform(self.store, call)
+
     def start(self, index: int, run: int = 1) -> None:
         """Starts a daemon, or a new run of it."""
         epoch = 1000 * run + index
@@ -139,16 +154,9 @@
         return None
 
     def _store(self, action: actions.CallStore) -> Any:
-        if action.path.startswith("/v1/objects?kinds="):
-            item = {
-                "kind": "modelpools",
-                "name": "lesar",
-                "version": 3,
-                "value": POOL,
-            }
-            body = {"revision": 3, "items": [item]}
-            return events.StoreAnswered(action.call_id, 200, body)
-        return events.StoreAnswered(action.call_id, 503, {})
+        if action.path.startswith("/v1/watch"):
+            return None  # A watch that nothing comes from.
+        return store_calls.perform(self.store, action)
 
     def _engine(self, at: str, action: actions.CallEngine) -> Any:
         address = action.address
