--- a/packages/hemlockreel-daemon/hemlockreel_daemon/operators.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/operators.py
@@ -69,7 +69,7 @@
             invalid._asdict() for invalid in (found.rejected if found else ())
         ],
         "members": [
-            msgspec.to_builtins(member) for member in membership.live(board)
+            msgspec.structs.asdict(member) for member in membership.live(board)
         ],
         "backend_servers": [
             replica._replace(role=replica.role.value)._asdict()
