Bound what hosts ask of a store that is down; end without exit handlers

Change: at most 6 more readers and reads that back off to 2 s and are spread; the process ends by os._exit after its logs are flushed; hosts without a configuration come last. Figures, by arithmetic: (2 + 6) readers x 7 regions / 2 s is 28 reads a second.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/main.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/main.py
@@ -2,9 +2,12 @@
 
 import argparse
 from importlib import metadata
+import logging
+import os
 import signal
 import sys
 import threading
+from typing import NoReturn
 
 from hemlockreel import events
 
@@ -107,5 +110,14 @@
             daemon.loop.post(events.CallersCounted(root.active))
 
 
-if __name__ == "__main__":
-    sys.exit(main())
+def run() -> NoReturn:
+    """Runs :func:`main` and ends the process without any exit handler.
+
+    NNG's own handler aborts the process when one of its threads is still
+    ending. Nothing is lost: the daemon keeps nothing on its host.
+    """
+    code = main()
+    logging.shutdown()
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)
--- /dev/null
+++ b/packages/hemlockreel-daemon/tests/test_main.py
@@ -0,0 +1,52 @@
+import json
+import subprocess
+import sys
+
+import pytest
+
+SETTINGS = {
+    "zone": "trondheim-a",
+    "region": "midt-norge",
+    "listen": {
+        "callers": "127.0.0.1:1",
+        "operators": "127.0.0.1:2",
+        "peers": "127.0.0.1:3",
+    },
+    "store": "127.0.0.1:4",
+    "host_list": "127.0.0.1:5",
+}
+# NNG's handler would run where this one prints.
+PROGRAM = (
+    "import atexit; from hemlockreel_daemon import main;"
+    "atexit.register(print, 'handler'); main.run()"
+)
+
+
+@pytest.fixture
+def check(tmp_path):
+    def run(value):
+        path = tmp_path / "settings.json"
+        path.write_text(json.dumps(value))
+        return subprocess.run(
+            [sys.executable, "-c", PROGRAM, "--check", "--config", path],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+
+    return run
+
+
+def test_process_ends_without_exit_handlers(check):
+    found = check(SETTINGS)
+    assert found.returncode == 0
+    assert found.stdout.endswith("settings are valid\n")
+
+
+def test_wrong_setting_is_named_with_its_path(check):
+    found = check({**SETTINGS, "store": "store.example:4"})
+    assert found.returncode == 1
+    assert 'Expected `IP:PORT`, got "store.example:4" - at `$.store`' in (
+        found.stderr
+    )
+    assert "Traceback" not in found.stderr
--- a/packages/hemlockreel/hemlockreel/addresses.py
+++ b/packages/hemlockreel/hemlockreel/addresses.py
@@ -13,17 +13,20 @@
     """Returns addresses for ``caller`` and their time to live in seconds.
 
     Members of this daemon's availability zone come first; within a zone the
-    hash of the caller spreads the load. Leaving hosts are left out.
+    hash of the caller spreads the load. Leaving hosts are left out, and
+    those without a configuration come last, since they refuse everything.
     """
     members = membership.live(board, board.identity.region)
     usable = {
         member.callers: member for member in members if not member.draining
     }
     ranked = rendezvous.rank(caller, usable)
-    ranked.sort(key=lambda callers: _distance(board, usable[callers]))
+    ranked.sort(key=lambda callers: _order(board, usable[callers]))
     return ranked[:ADDRESSES], drain.ADDRESS_TTL_S
 
 
-def _distance(board: boards.Board, member: messages.MemberUpdate) -> int:
-    """Returns 0 for a member of the own availability zone, else 1."""
-    return int(member.zone != board.identity.zone)
+def _order(
+    board: boards.Board, member: messages.MemberUpdate
+) -> tuple[bool, bool]:
+    """Returns a key that sorts the better members first."""
+    return member.configuration == 0, member.zone != board.identity.zone
--- a/packages/hemlockreel/hemlockreel/configuration_reader.py
+++ b/packages/hemlockreel/hemlockreel/configuration_reader.py
@@ -33,7 +33,9 @@
 POLL_S = 90.0  # the others look at the store
 JITTER = 0.3  # share of the periods above
 STALE_AGAIN_S = 0.2  # after a read older than what is known
-AGAIN_S = 0.5  # after an answer that failed
+AGAIN_S = 0.5  # after an answer that failed, doubled each time
+AGAIN_MOST_S = 2.0
+MAX_DOUBLINGS = 8
 # Each reader after the first writes this much later than the one before.
 RANK_DELAY_S = 0.3
 MAX_DELAYS = 2
@@ -54,6 +56,7 @@
         self.listing = False
         self.watching = False
         self.writing = False
+        self.failures = 0
         self.next_list = 0.0
         self.next_watch = 0.0
         self.seen = 0
@@ -143,8 +146,10 @@
     state = board.state(State)
     if event.status != 200:
         yield actions.Count("configuration_read_failures")
-        _list_after(state, now, max(AGAIN_S, event.retry_after_s))
+        wait_s = max(_back_off(board), event.retry_after_s)
+        _list_after(state, now, wait_s)
         return
+    state.failures = 0
     revision = event.body["revision"]
     if revision < state.seen:
         _list_after(state, now, STALE_AGAIN_S)
@@ -162,6 +167,18 @@
         yield from _merge(board, stored, items, now)
 
 
+def _back_off(board: boards.Board) -> float:
+    """Returns the time until the next read after one that failed.
+
+    It doubles and is spread, so that a store that comes back is not met by
+    all hosts at once.
+    """
+    state = board.state(State)
+    wait_s = min(AGAIN_MOST_S, AGAIN_S * 2**state.failures)
+    state.failures = min(state.failures + 1, MAX_DOUBLINGS)
+    return wait_s * (1 + JITTER * (2 * board.rng.random() - 1))
+
+
 def _list_after(state: State, now: float, seconds: float) -> None:
     state.next_list = min(state.next_list, now + seconds)
 
--- a/packages/hemlockreel/hemlockreel/readers.py
+++ b/packages/hemlockreel/hemlockreel/readers.py
@@ -6,9 +6,11 @@
 
 READERS = 2  # so that the death of one delays nothing
 # While nobody seems to reach the source, one more daemon reads it for each
-# STEP_S of the age of what is known beyond STALE_S.
+# STEP_S of the age of what is known beyond STALE_S, up to MAX_EXTRA. The
+# bound keeps a whole region from calling a source that is down.
 STALE_S = 2.5
 STEP_S = 1.0
+MAX_EXTRA = 6
 HOLD_S = 10.0  # how long such a daemon goes on
 SUCCESSORS = 3  # daemons that are told of each reading at once
 
@@ -33,7 +35,7 @@
         return place
     until = board.state(State).until
     extra = (age_s - STALE_S) / STEP_S
-    if extra >= 0 and place <= READERS + extra:
+    if extra >= 0 and place <= READERS + min(extra, MAX_EXTRA):
         until[source] = now + HOLD_S
     return place if now < until.get(source, now) else None
 
--- /dev/null
+++ b/packages/hemlockreel/tests/test_readers.py
@@ -0,0 +1,58 @@
+from hemlockreel import configuration_reader
+from hemlockreel import events
+from hemlockreel import membership
+from hemlockreel import messages
+from hemlockreel import precedence
+from hemlockreel import readers
+from hemlockreel_standins import helper
+
+HOSTS = 84  # in a region at the size to design for
+SOURCE = "configuration"
+
+
+def make_region():
+    boards = [
+        helper.make_board(host=f"127.0.0.1:{9000 + index}", seed=index)
+        for index in range(HOSTS)
+    ]
+    for made in boards:
+        for other in boards:
+            if other is not made:
+                update = messages.MemberUpdate(
+                    host=other.identity.host,
+                    zone=helper.ZONE,
+                    region=helper.REGION,
+                    callers=other.identity.host,
+                    epoch=1,
+                    incarnation=0,
+                    state=precedence.ALIVE,
+                )
+                list(membership.put(made, update, 0.0))
+    return boards
+
+
+def test_source_that_is_down_is_not_called_by_all():
+    boards = make_region()
+    for age_s in (0.0, 10.0, 3600.0):
+        ranks = [readers.rank(made, SOURCE, age_s, 0.0) for made in boards]
+        reading = sum(rank is not None for rank in ranks)
+        assert 2 <= reading <= 2 + readers.MAX_EXTRA + 1
+
+
+def test_reads_that_fail_become_rarer_and_are_spread():
+    made = helper.make_board()
+    state = made.state(configuration_reader.State)
+    waits = []
+    for now in range(6):
+        state.next_list = 1e9
+        list(
+            configuration_reader.handle(
+                events.StoreAnswered(configuration_reader.LIST_ID, 0, {}),
+                made,
+                float(now),
+            )
+        )
+        waits.append(state.next_list - now)
+    assert waits[0] < 1.0
+    assert 1.0 <= waits[-1] <= 3.0
+    assert len(set(waits)) == len(waits)
