Learn an engine's pace only from requests that ended by themselves

Cause: the owner told the ledger the end of each grant, also when the caller had left; its few tokens over a long time made the engine look slow, and the cap on its batch fell below the 20 places that it has. Ruled out: the queue of the entry and a slow machine (the test fails alone, and passes before the owner passed the ends on). Before: test_places_are_free_for_others_afterwards fails, 'not all were granted'; after: it passes.

--- a/packages/hemlockreel/hemlockreel/owner.py
+++ b/packages/hemlockreel/hemlockreel/owner.py
@@ -123,7 +123,8 @@
     event: messages.Release, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
     found = _find(board, event, now)
-    if found is not None:
+    if found is not None and (event.clean or event.failed):
+        # A caller that left tells nothing of the engine's pace.
         book = found[1]
         book.ended(event.grant_id, event.output_tokens, event.failed, now)
     if event.clean:
