Bound retries by a budget, and choose between two shards

Cause: each ask counted all requests of the entry, the shard was taken at random, and nothing bounded second tries.

Change: counts by organisation; of two shards the one with less held per replica, the own zone first, one that refused last; one other shard after a refusal; retries at most a tenth of the first tries and ten saved up.

Ruled out: not asking an owner before its time to come back, since what it refused to one request may fit for the next.

After: the tests of entry, core and ownership pass (157). Not run: the whole suite with this change.

--- /dev/null
+++ b/packages/hemlockreel/hemlockreel/admission.py
@@ -0,0 +1,61 @@
+"""What an entry itself lets through before it asks any owner."""
+
+import collections
+
+from . import board as boards
+from . import configuration
+from . import messages
+from . import objects
+from . import outcomes
+from . import retries
+
+RETRY_AFTER_S = 1.0
+
+
+class State:
+    """How many requests each organisation has, and the retry budget."""
+
+    def __init__(self):
+        self.in_flight: collections.Counter[str] = collections.Counter()
+        self.budget = retries.Budget()
+
+
+def quota(board: boards.Board, organisation: str) -> objects.Quota:
+    """Returns the share and the limits of ``organisation``."""
+    found = configuration.current(board)
+    if found is None:
+        return objects.Quota()
+    return found.quotas.get(organisation, objects.Quota())
+
+
+def patience(klass: str, pool: objects.ModelPool) -> float:
+    """Returns how long a request of ``klass`` may wait, in seconds."""
+    if (klass or pool.default_class) == "deferrable":
+        return pool.deferrable_wait_s
+    return pool.first_token_ms / 1000
+
+
+def check(board: boards.Board, ask: messages.Ask) -> outcomes.Refused | None:
+    """Refuses what is over the quota or the retry budget."""
+    state = board.state(State)
+    limit = quota(board, ask.organisation).max_in_flight
+    if state.in_flight[ask.organisation] >= limit:
+        return outcomes.not_run(outcomes.Reason.QUOTA, RETRY_AFTER_S)
+    if ask.attempt == 1:
+        state.budget.earn()
+    elif not state.budget.take():
+        return outcomes.not_run(outcomes.Reason.OVERLOADED, RETRY_AFTER_S)
+    return None
+
+
+def enter(board: boards.Board, organisation: str) -> None:
+    """Counts a request of ``organisation``."""
+    board.state(State).in_flight[organisation] += 1
+
+
+def leave(board: boards.Board, organisation: str) -> None:
+    """Notes that a counted request has ended."""
+    in_flight = board.state(State).in_flight
+    in_flight[organisation] -= 1
+    if not in_flight[organisation]:
+        del in_flight[organisation]
--- a/packages/hemlockreel/hemlockreel/entry.py
+++ b/packages/hemlockreel/hemlockreel/entry.py
@@ -4,13 +4,16 @@
 import functools
 from typing import Any
 
+import msgspec
+
 from . import actions
+from . import admission
 from . import board as boards
+from . import choice
 from . import configuration
 from . import events
 from . import leases
 from . import messages
-from . import objects
 from . import outcomes
 from . import shards
 
@@ -28,8 +31,8 @@
         self.owners = owners
         self.ask_again_at = now + ASK_TIMEOUT_S
         self.deadline = now + ask.deadline_s
-        self.queued = False
         self.grant: messages.Grant | None = None
+        self.tried: tuple[str, ...] = (ask.shard,)
 
 
 class State:
@@ -96,8 +99,8 @@
         prompt_tokens=event.prompt_tokens,
         output_tokens=output_tokens,
         prefixes=list(event.prefixes),
-        deadline_s=event.deadline_s or _patience(event.klass, pool),
-        weight=_quota(board, event.organisation).weight,
+        deadline_s=event.deadline_s or admission.patience(event.klass, pool),
+        weight=admission.quota(board, event.organisation).weight,
         exclude=list(event.excluded),
         traceparent=event.traceparent,
     )
@@ -122,55 +125,38 @@
     yield from _ask_owner(board, ask, event.service, now)
 
 
-def _patience(klass: str, pool: objects.ModelPool) -> float:
-    """Returns how long a request of ``klass`` may wait, in seconds."""
-    if (klass or pool.default_class) == "deferrable":
-        return pool.deferrable_wait_s
-    return pool.first_token_ms / 1000
-
-
-def _quota(board: boards.Board, organisation: str) -> objects.Quota:
-    found = configuration.current(board)
-    if found is None:
-        return objects.Quota()
-    return found.quotas.get(organisation, objects.Quota())
-
-
 def _ask_owner(
     board: boards.Board, ask: messages.Ask, service: str, now: float
 ) -> Iterable[actions.Action]:
     """Asks the owner of a shard of ``service`` for a place."""
-    state = board.state(State)
-    quota = _quota(board, ask.organisation)
-    in_flight = sum(
-        request.ask.organisation == ask.organisation
-        for request in state.requests.values()
-    )
-    if in_flight >= quota.max_in_flight:
-        refused = outcomes.not_run(outcomes.Reason.QUOTA, RETRY_AFTER_S)
+    refused = admission.check(board, ask)
+    shard = choice.pick(board, service, now)
+    if refused is None and shard is None:
+        refused = outcomes.not_run(outcomes.Reason.NO_BACKEND, RETRY_AFTER_S)
+    if refused is not None:
         yield actions.Tell(ask.request_id, refused)
         return
-    names = sorted(shards.get(board, service))
-    shard = board.rng.choice(names)
-    ask = messages.Ask(
-        **{
-            field: getattr(ask, field)
-            for field in ask.__struct_fields__
-            if field != "shard"
-        },
-        shard=shard,
-    )
+    ask = msgspec.structs.replace(ask, shard=shard)
+    # There is always an owner: this daemon is a member itself.
     owners = shards.rank_owners(board, shard)
-    if not owners:
-        refused = outcomes.not_run(
-            outcomes.Reason.OWNER_UNREACHABLE, RETRY_AFTER_S
-        )
-        yield actions.Tell(ask.request_id, refused)
-        return
-    state.requests[ask.request_id] = Request(ask, owners, now)
+    _add(board, Request(ask, owners, now))
     yield actions.Send(owners[0], ask)
 
 
+def _add(board: boards.Board, request: Request) -> None:
+    board.state(State).requests[request.ask.request_id] = request
+    admission.enter(board, request.ask.organisation)
+    choice.took(board, request.ask.shard)
+
+
+def _remove(board: boards.Board, request_id: str) -> None:
+    """Forgets a request and what was counted for it."""
+    request = board.state(State).requests.pop(request_id, None)
+    if request is not None:
+        admission.leave(board, request.ask.organisation)
+        choice.left(board, request.ask.shard)
+
+
 @handle.register
 def _prefill_ended(
     event: events.PrefillEnded, board: boards.Board, now: float
@@ -210,7 +196,7 @@
     request = state.requests.get(event.request_id)
     if request is None or request.ask.attempt != event.attempt:
         return
-    del state.requests[event.request_id]
+    _remove(board, event.request_id)
     if request.grant is None:
         yield _withdraw(board, request)
         return
@@ -280,19 +266,42 @@
         return
     if request.grant is not None:
         return
-    del state.requests[event.request_id]
     reason = outcomes.Reason(event.reason)
+    if reason in choice.ELSEWHERE:
+        choice.refused(board, request.ask.shard, event.retry_after_s, now)
+        if _ask_another(board, request, now):
+            yield actions.Send(request.owners[0], request.ask)
+            return
+    _remove(board, event.request_id)
     refused = outcomes.not_run(reason, event.retry_after_s)
     yield actions.Tell(event.request_id, refused)
 
 
+def _ask_another(board: boards.Board, request: Request, now: float) -> bool:
+    """Turns a refused request to one other shard, if it may be retried."""
+    service = shards.service_of(request.ask.shard)
+    shard = choice.pick(board, service, now, request.tried)
+    if shard is None or len(request.tried) > 1 or now >= request.deadline:
+        return False
+    if not board.state(admission.State).budget.take():
+        return False
+    choice.left(board, request.ask.shard)
+    choice.took(board, shard)
+    request.tried += (shard,)
+    request.ask = msgspec.structs.replace(
+        request.ask, shard=shard, deadline_s=request.deadline - now
+    )
+    request.owners = shards.rank_owners(board, shard)
+    request.ask_again_at = now + ASK_TIMEOUT_S
+    return True
+
+
 @handle.register
 def _queued(
     event: messages.Queued, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
     request = board.state(State).requests.get(event.request_id)
     if request is not None and event.sender == request.owners[0]:
-        request.queued = True
         request.ask_again_at = now + REPEAT_ASK_S
     return ()
 
@@ -306,7 +315,7 @@
         request_id = state.by_grant.pop(grant_id, None)
         if request_id is None:
             continue
-        state.requests.pop(request_id, None)
+        _remove(board, request_id)
         yield actions.Count("revoked_grants")
         refused = outcomes.unknown(outcomes.Reason.REVOKED)
         yield actions.Tell(request_id, refused)
@@ -352,23 +361,15 @@
     board: boards.Board, request: Request, now: float
 ) -> Iterable[actions.Action]:
     """Gives up a request past its deadline, or asks the next owner."""
-    state = board.state(State)
     if now >= request.deadline:
-        del state.requests[request.ask.request_id]
+        _remove(board, request.ask.request_id)
         yield _withdraw(board, request)
         refused = outcomes.not_run(outcomes.Reason.LATE, RETRY_AFTER_S)
         yield actions.Tell(request.ask.request_id, refused)
         return
     if now < request.ask_again_at:
         return
-    if request.queued:
-        # The owner that has the ask is asked first whether it still has.
-        request.queued = False
-        request.ask_again_at = now + ASK_TIMEOUT_S
-        yield actions.Send(request.owners[0], request.ask)
-        return
     silent = request.owners[0]
-    yield actions.Redial(silent)
     request.owners = shards.rank_owners(board, request.ask.shard)
     if request.owners[0] == silent and len(request.owners) > 1:
         request.owners.append(request.owners.pop(0))
--- /dev/null
+++ b/packages/hemlockreel/hemlockreel/retries.py
@@ -0,0 +1,32 @@
+"""The retry budget of an entry.
+
+Retries are a share of the first tries, so that a fault that fails many
+requests at once does not multiply the load on what is left. A small reserve
+lets a quiet entry retry too.
+"""
+
+SHARE = 0.1  # retries per first try
+RESERVE = 10.0  # retries that may be saved up
+
+
+class Budget:
+    """Counts first tries against retries.
+
+    >>> budget = Budget()
+    >>> [budget.take() for _ in range(11)].count(True)
+    10
+    """
+
+    def __init__(self):
+        self._left = RESERVE
+
+    def earn(self) -> None:
+        """Notes a first try."""
+        self._left = min(self._left + SHARE, RESERVE)
+
+    def take(self) -> bool:
+        """Uses up one retry; false when none is left."""
+        if self._left < 1.0:
+            return False
+        self._left -= 1.0
+        return True
--- a/packages/hemlockreel/tests/test_entry.py
+++ b/packages/hemlockreel/tests/test_entry.py
@@ -1,9 +1,15 @@
+import pytest
+
 from hemlockreel import actions
+from hemlockreel import admission
 from hemlockreel import core
+from hemlockreel import entry
 from hemlockreel import events
 from hemlockreel import messages
 from hemlockreel import outcomes
 from hemlockreel import replicas
+from hemlockreel import retries
+from hemlockreel import shards
 from hemlockreel_standins import helper
 
 POOL = {"service": "lesar", "model": "lesar-7b", "max_output_tokens": 40}
@@ -55,3 +61,114 @@
     assert [tell.value for tell in told] == [
         outcomes.not_run(outcomes.Reason.OVERLOADED, 2.0)
     ]
+
+
+def refuse(made, ask, now, reason="overloaded"):
+    refusal = messages.Refusal(
+        sender=helper.HOST,
+        epoch=7,
+        request_id=ask.request_id,
+        attempt=ask.attempt,
+        reason=reason,
+        retry_after_s=2.0,
+    )
+    return core.step(made, refusal, now)
+
+
+def make_zones(*zones):
+    """An entry with a shard of its own for each availability zone."""
+    made = make_entry()
+    hosts = tuple(
+        replicas.Replica(
+            f"127.0.0.1:{9100 + 10 * index + number}",
+            "lesar",
+            zone,
+            helper.REGION,
+            replicas.Role.PREFILL if number < 3 else replicas.Role.DECODE,
+        )
+        for index, zone in enumerate(zones)
+        for number in range(6)
+    )
+    core.step(made, events.HostsListed(hosts), 0.0)
+    assert len(shards.get(made, "lesar")) == len(zones)
+    return made
+
+
+def test_own_zone_is_asked_first_and_another_one_after_a_refusal():
+    made = make_zones(helper.ZONE, "orkanger")
+    first = sent(core.step(made, asked(), 0.1), messages.Ask)[0]
+    assert shards.zone_of(first.shard) == helper.ZONE
+    second = sent(refuse(made, first, 0.2), messages.Ask)[0]
+    assert shards.zone_of(second.shard) == "orkanger"
+    assert second.deadline_s == pytest.approx(first.deadline_s - 0.1)
+    told = helper.of_type(refuse(made, second, 0.3), actions.Tell)
+    assert told[0].value.ran is outcomes.Ran.NOT_RUN
+    assert not made.state(entry.State).requests
+
+
+def test_shard_that_refused_is_asked_last_until_its_time():
+    made = make_zones(helper.ZONE, "orkanger")
+    first = sent(core.step(made, asked(), 0.1), messages.Ask)[0]
+    refuse(made, first, 0.2)
+    later = sent(core.step(made, asked("r2"), 1.0), messages.Ask)[0]
+    assert shards.zone_of(later.shard) == "orkanger"
+    again = sent(core.step(made, asked("r3"), 2.3), messages.Ask)[0]
+    assert shards.zone_of(again.shard) == helper.ZONE
+
+
+def test_less_held_of_two_shards_is_asked():
+    made = make_zones(*(f"zone-{index}" for index in range(2)))
+    zones = [
+        shards.zone_of(
+            sent(core.step(made, asked(f"r{n}"), 0.1), messages.Ask)[0].shard
+        )
+        for n in range(10)
+    ]
+    assert zones.count("zone-0") == zones.count("zone-1") == 5
+
+
+def test_retries_stay_under_a_tenth_of_the_first_tries():
+    made = make_zones(helper.ZONE, "orkanger")
+    extra = 0
+    tries = 1000
+    for number in range(tries):
+        now = number / 100
+        ask = sent(core.step(made, asked(f"r{number}"), now), messages.Ask)[0]
+        found = sent(refuse(made, ask, now), messages.Ask)
+        extra += len(found)
+        for again in found:
+            refuse(made, again, now)
+    assert 0 < extra <= tries * retries.SHARE + retries.RESERVE
+
+
+def test_second_attempt_without_a_budget_is_refused():
+    made = make_entry()
+    budget = made.state(admission.State).budget
+    while budget.take():
+        pass
+    found = helper.of_type(
+        core.step(made, asked(attempt=2), 0.1), actions.Tell
+    )
+    assert found[0].value.reason is outcomes.Reason.OVERLOADED
+
+
+def test_quota_counts_what_is_in_flight_only():
+    made = make_entry()
+    quota = {"acme": {"max_in_flight": 2}}
+    helper.configure(made, modelpools={"lesar": POOL}, quotas=quota)
+    for name in ("r1", "r2"):
+        assert sent(core.step(made, asked(name), 0.1), messages.Ask)
+    over = helper.of_type(core.step(made, asked("r3"), 0.1), actions.Tell)
+    assert over[0].value.reason is outcomes.Reason.QUOTA
+    other = core.step(made, asked("r4", organisation="other"), 0.1)
+    assert sent(other, messages.Ask)
+    core.step(made, events.RequestEnded("r1", 1, True), 0.2)
+    assert sent(core.step(made, asked("r5"), 0.3), messages.Ask)
+
+
+def test_request_given_up_in_a_queue_is_withdrawn():
+    made = make_entry()
+    core.step(made, asked(), 0.1)
+    ended = core.step(made, events.RequestEnded("r1", 1, True), 0.2)
+    assert [w.request_id for w in sent(ended, messages.Withdraw)] == ["r1"]
+    assert not made.state(admission.State).in_flight
