Keep a prefill while memory that was granted ahead comes free

Cause: (1) the worker gave up at the first 507 of an engine, so a grant ahead of a release wasted its prefill; (2) /traces?request_id= answered the spans of all requests since handlers no longer get the query. Ruled out for (1): granting nothing ahead, which costs goodput with long prompts. Change: a 507 is tried again each 50 ms for the 0.8 s that the result is kept; the traces handler reads the query itself; a fault switch of the engine for 507.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/decoding.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/decoding.py
@@ -20,7 +20,13 @@
 RESUME_PAUSE_S = 0.1  # doubled with each resume in a row
 
 SERVER_ERROR = 500
-NOT_RUN_STATUSES = (409, 507)  # the engine says that it did not decode
+EVICTED = 409  # the engine says that it did not decode, in both cases
+MEMORY_FULL = 507
+NOT_RUN_STATUSES = (EVICTED, MEMORY_FULL)
+# Memory that was granted ahead of a release may come free a moment later. The
+# prefill result is evicted after about as long.
+FULL_WAIT_S = 0.8
+FULL_PAUSE_S = 0.05
 
 
 class Finished(NamedTuple):
@@ -38,6 +44,7 @@
 
     exclude: tuple[str, ...]
     fault: bool
+    memory_full: bool = False
 
 
 class Decode:
@@ -93,7 +100,7 @@
 
         Returns how the request ended, ``None`` when the stream was cut.
         """
-        opened = self._open()
+        opened = self._open_when_free()
         if not isinstance(opened, http_calls.Opened):
             return opened
         try:
@@ -111,6 +118,20 @@
             opened.close()
         return None
 
+    def _open_when_free(
+        self,
+    ) -> http_calls.Opened | Failed | outcomes.Refused | None:
+        """Does :meth:`_open`, again while the engine's memory is full."""
+        until = time.monotonic() + FULL_WAIT_S
+        while True:
+            opened = self._open()
+            full = isinstance(opened, Failed) and opened.memory_full
+            if not full or time.monotonic() > until:
+                return opened
+            if self._box.stopped is not None:
+                return outcomes.unknown(self._box.stopped.reason)
+            time.sleep(FULL_PAUSE_S)
+
     def _open(
         self,
     ) -> http_calls.Opened | Failed | outcomes.Refused | None:
@@ -138,9 +159,9 @@
         opened.close()
         if self.output_tokens == 0 and status in NOT_RUN_STATUSES:
             # A prefill result that was evicted is no fault of the engine.
-            full = status != 409
+            full = status == MEMORY_FULL
             exclude = (self._grant.replica,) if full else ()
-            return Failed(exclude, fault=False)
+            return Failed(exclude, fault=False, memory_full=full)
         # An engine that answers has lost this request, but it works.
         reason = outcomes.Reason.BACKEND_REFUSED
         if status >= SERVER_ERROR:
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/operators.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/operators.py
@@ -12,6 +12,7 @@
 
 from . import answers
 from . import daemon as daemons
+from . import servers
 
 
 class Operators:
@@ -48,8 +49,9 @@
         return answers.send_json(self._daemon.loop.ask(_describe))
 
     @cherrypy.expose
-    def traces(self, request_id: str = "") -> bytes:
-        """Answers the kept spans of a request."""
+    def traces(self) -> bytes:
+        """Answers the kept spans, with `request_id` those of a request."""
+        request_id = servers.query().get("request_id", "")
         return answers.send_json(self._daemon.traces.find(request_id))
 
 
--- a/standins/hemlockreel_standins/engine.py
+++ b/standins/hemlockreel_standins/engine.py
@@ -54,6 +54,7 @@
         "slow_factor": 1.0,
         "link_bytes_per_s": 0.0,
         "lose_cache_events": False,
+        "memory_full": 0,
     }
 
     def __init__(
@@ -180,6 +181,8 @@
             return self._resume(body)
         if self.model.role != "decode":
             return _error(409, "wrong_role")
+        if self.take("memory_full"):
+            return _error(507, "memory_full")
         with self.lock:
             reserved = self.model.reserve(
                 request_id,
--- a/tests/test_callers_gone.py
+++ b/tests/test_callers_gone.py
@@ -16,7 +16,6 @@
 }
 BOUND_S = 4.0
 SLOW_READER_BOUND_S = 12.0  # its buffers fill first
-TWO_PIECES = 5000  # tokens; ten such requests fill the memory
 LONG_PROMPT = "tide " * 4000  # a prefill of 10 s
 SHORT_PROMPT = "tide " * 8
 
@@ -138,10 +137,7 @@
     """As many callers as fit leave, and as many fit again."""
     address = slow.daemons[0].callers
     for _ in range(2):
-        callers = [
-            raw_caller.send(address, asked(tokens=TWO_PIECES))
-            for _ in range(10)
-        ]
+        callers = [raw_caller.send(address, asked()) for _ in range(20)]
         processes.await_that(
             lambda: (
                 len(
@@ -149,7 +145,7 @@
                         "requests"
                     ]
                 )
-                == 10
+                == 20
             ),
             15,
             "not all were granted",
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -64,6 +64,16 @@
     assert heard.whole(TOKENS), heard
 
 
+def test_prefill_is_kept_while_the_memory_comes_free(small, faults):
+    faults(memory_full=3)
+    daemon = small.daemons[0]
+    heard = raw_caller.Stream(daemon.callers, asked()).read_all()
+    assert heard.whole(TOKENS), heard
+    path = f"/traces?request_id={heard.request_id}"
+    names = [span["name"] for span in processes.get(daemon.operators, path)]
+    assert names.count("prefill") == 1
+
+
 def test_unstreamed_answer_is_whole_or_refused(small, faults):
     faults(cut_after_tokens=5)
     status, body = raw_caller.complete(small.daemons[0].callers, asked())
