--- a/packages/hemlockreel-daemon/hemlockreel_daemon/peers.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/peers.py
@@ -91,6 +91,10 @@
                 data = self._inbox.recv()
             except pynng.Timeout:
                 continue
+            except RuntimeError:
+                # The library fails so on a message without bytes.
+                self._metrics.count("broken_messages")
+                continue
             except pynng.NNGException:
                 return
             message = messages.decode(data)
--- /dev/null
+++ b/packages/hemlockreel-daemon/tests/test_peers_contract.py
@@ -0,0 +1,73 @@
+import time
+
+import pynng
+import pytest
+from pytest_bdd import given
+from pytest_bdd import parsers
+from pytest_bdd import scenarios
+from pytest_bdd import then
+from pytest_bdd import when
+
+from hemlockreel import messages
+from hemlockreel_daemon import peers
+from hemlockreel_standins import processes
+
+scenarios("features/peers.feature")
+
+WAIT_S = 10.0
+WHOLE = messages.encode(messages.Ping(sender="127.0.0.1:1", epoch=1, seq=2))
+SENT = {
+    "a message": WHOLE,
+    "no bytes": b"",
+    "random bytes": bytes(range(128, 255)),
+    "half a message": WHOLE[: len(WHOLE) // 2],
+    "an unknown type": WHOLE.replace(b"Ping", b"Pong"),
+    "a message with a string": WHOLE[:-2] + b"\xa1x" + WHOLE[-1:],
+}
+
+
+class Receiver:
+    """A daemon's sockets, what came in, and what was counted."""
+
+    def __init__(self):
+        self.address = f"127.0.0.1:{processes.free_port()}"
+        self.received = []
+        self.counted = []
+        self.peers = peers.Peers(self.address, self)
+        self.peers.start(self.received.append)
+
+    def count(self, name, amount=1, labels=()):
+        self.counted.append(name)
+
+
+@pytest.fixture
+def receiver():
+    made = Receiver()
+    yield made
+    made.peers.close()
+
+
+@given("a daemon that receives messages")
+def receives(receiver):
+    assert receiver.received == []
+
+
+@when(parsers.parse("a peer sends {what}"))
+def sends(receiver, what):
+    with pynng.Push0(send_timeout=5000) as outbox:
+        outbox.dial(f"tcp://{receiver.address}", block=True)
+        outbox.send(SENT[what])
+        end = time.monotonic() + WAIT_S
+        while not receiver.received + receiver.counted:
+            assert time.monotonic() < end
+            time.sleep(0.01)
+
+
+@then(
+    parsers.parse(
+        "it has taken over {taken:d} messages and counted {broken:d} as broken"
+    )
+)
+def has_taken(receiver, taken, broken):
+    assert len(receiver.received) == taken
+    assert receiver.counted == ["broken_messages"] * broken
