--- /dev/null
+++ b/packages/hemlockreel/hemlockreel/probe_targets.py
@@ -0,0 +1,46 @@
+"""Which member the failure detector pings next."""
+
+from collections.abc import Container
+
+from . import board as boards
+from . import membership
+from . import rendezvous
+
+
+def get(board: boards.Board) -> list[str]:
+    """Returns the members that should answer a ping."""
+    own = board.identity.host
+    missing = membership.table(board).unreachable
+    return [
+        member.host
+        for member in membership.live(board)
+        if member.host != own and member.host not in missing
+    ]
+
+
+def successor(board: boards.Board, suspected: Container[str]) -> str | None:
+    """Returns the next member on the ring that is not suspected."""
+    # The ring is in hash order, as neighbours by address may share a rack.
+    own = rendezvous.score("ring", board.identity.host)
+    ring = [
+        (rendezvous.score("ring", host), host)
+        for host in get(board)
+        if host not in suspected
+    ]
+    above = [place for place in ring if place[0] > own]
+    return min(above or ring, default=(0, None))[1]
+
+
+def next_in_turn(board: boards.Board, order: list[str]) -> str | None:
+    """Returns a random member; each one comes once before any comes twice.
+
+    ``order`` holds those that are still to come and is kept up to date.
+    """
+    usable = set(get(board))
+    while order:
+        host = order.pop()
+        if host in usable:
+            return host
+    order[:] = sorted(usable)
+    board.rng.shuffle(order)
+    return order.pop() if order else None
--- a/packages/hemlockreel/hemlockreel/probes.py
+++ b/packages/hemlockreel/hemlockreel/probes.py
@@ -21,7 +21,7 @@
 from . import membership
 from . import messages
 from . import precedence
-from . import rendezvous
+from . import probe_targets
 
 RING_PERIOD_S = 0.5
 RANDOM_PERIOD_S = 1.0
@@ -175,10 +175,14 @@
     yield from _remove(board, now)
     if now >= state.next_ring:
         state.next_ring = now + RING_PERIOD_S
-        yield from _probe(board, _successor(board), now)
+        yield from _probe(
+            board, probe_targets.successor(board, state.removals), now
+        )
     if now >= state.next_random:
         state.next_random = now + RANDOM_PERIOD_S
-        yield from _probe(board, _next_in_turn(board), now)
+        yield from _probe(
+            board, probe_targets.next_in_turn(board, state.order), now
+        )
     if now >= state.next_recheck:
         state.next_recheck = now + RECHECK_PERIOD_S
         yield from _recheck(board, now)
@@ -198,44 +202,6 @@
     }
 
 
-def _others(board: boards.Board) -> list[str]:
-    """Returns the members that should answer a ping."""
-    own = board.identity.host
-    missing = membership.table(board).unreachable
-    return [
-        member.host
-        for member in membership.live(board)
-        if member.host != own and member.host not in missing
-    ]
-
-
-def _successor(board: boards.Board) -> str | None:
-    """Returns the next member on the ring that is not suspected."""
-    # The ring is in hash order, as neighbours by address may share a rack.
-    suspected = board.state(State).removals
-    own = rendezvous.score("ring", board.identity.host)
-    ring = [
-        (rendezvous.score("ring", host), host)
-        for host in _others(board)
-        if host not in suspected
-    ]
-    above = [place for place in ring if place[0] > own]
-    return min(above or ring, default=(0, None))[1]
-
-
-def _next_in_turn(board: boards.Board) -> str | None:
-    """Returns a random member; each one comes once before any comes twice."""
-    state = board.state(State)
-    usable = set(_others(board))
-    while state.order:
-        host = state.order.pop()
-        if host in usable:
-            return host
-    state.order = sorted(usable)
-    board.rng.shuffle(state.order)
-    return state.order.pop() if state.order else None
-
-
 def _probe(
     board: boards.Board, target: str | None, now: float
 ) -> Iterable[actions.Action]:
@@ -269,7 +235,7 @@
 def _ask_helpers(
     board: boards.Board, seq: int, target: str
 ) -> Iterable[actions.Action]:
-    helpers = [host for host in _others(board) if host != target]
+    helpers = [host for host in probe_targets.get(board) if host != target]
     count = min(INDIRECT_PROBES, len(helpers))
     for helper in board.rng.sample(helpers, count):
         request = messages.PingRequest(
@@ -299,7 +265,7 @@
     state.removals[host] = now + ACCUSED_S
     yield actions.Count("suspicions")
     if state.survey is None:
-        others = _others(board)
+        others = probe_targets.get(board)
         state.answered = set()
         state.survey = Survey(frozenset(others), now + SURVEY_TIMEOUT_S)
         for other in others:
