Name hosts that this one can't reach after the others

Cause: in a cut, address answers named hosts on the other side first where the hash said so. Ruled out: leaving them out, since the caller may reach them. Change: they come after the hosts in reach.

--- a/packages/hemlockreel/hemlockreel/addresses.py
+++ b/packages/hemlockreel/hemlockreel/addresses.py
@@ -13,8 +13,9 @@
     """Returns addresses for ``caller`` and their time to live in seconds.
 
     Members of this daemon's availability zone come first; within a zone the
-    hash of the caller spreads the load. Leaving hosts are left out, and
-    those without a configuration come last, since they refuse everything.
+    hash of the caller spreads the load. Leaving hosts are left out. Those
+    without a configuration come last, since they refuse everything, and
+    before them those that this daemon can't reach itself.
     """
     members = membership.live(board, board.identity.region)
     usable = {
@@ -27,6 +28,10 @@
 
 def _order(
     board: boards.Board, member: messages.MemberUpdate
-) -> tuple[bool, bool]:
+) -> tuple[bool, bool, bool]:
     """Returns a key that sorts the better members first."""
-    return member.configuration == 0, member.zone != board.identity.zone
+    return (
+        member.configuration == 0,
+        member.host in membership.table(board).unreachable,
+        member.zone != board.identity.zone,
+    )
--- a/packages/hemlockreel/tests/test_addresses.py
+++ b/packages/hemlockreel/tests/test_addresses.py
@@ -31,3 +31,11 @@
         "127.0.0.1:9001",
         "127.0.0.1:9000",
     ]
+
+
+def test_members_out_of_reach_come_after_those_in_reach():
+    made = helper.make_board(host="127.0.0.1:9000", zone="orkanger")
+    add(made, "127.0.0.1:9001", "trondheim-a")
+    add(made, "127.0.0.1:9002", "orkanger")
+    membership.table(made).unreachable.add("127.0.0.1:9002")
+    assert addresses.get(made, "me")[0][0] == "127.0.0.1:9001"
