--- a/tests/test_not_run.py
+++ b/tests/test_not_run.py
@@ -7,7 +7,7 @@
 
 REQUESTS = 120
 WORKERS = 6
-SEED = 20261203  # the date of the letter's sitting
+SEED = 20261203
 ROUTE = {"service": "ordrebok", "prefix": "/orders", "timeout_ms": 400}
 FAULTS = (
     {"reset_before": 1},
