Write the sender of a message in one place

Ruled out: filling them in when a message is sent, since messages are compared in the core before. Change: a property of the board. Conclusion: no change of behaviour.

--- a/packages/hemlockreel/hemlockreel/board.py
+++ b/packages/hemlockreel/hemlockreel/board.py
@@ -41,6 +41,11 @@
         self.rng = rng
         self.states: dict[type, Any] = {}
 
+    @property
+    def signature(self) -> dict[str, Any]:
+        """The fields by which each message names its sender."""
+        return {"sender": self.identity.host, "epoch": self.identity.epoch}
+
     def state(self, kind: type) -> Any:
         """Returns the state object of type ``kind``, made on first use."""
         found = self.states.get(kind)
--- a/packages/hemlockreel/hemlockreel/entry.py
+++ b/packages/hemlockreel/hemlockreel/entry.py
@@ -88,8 +88,7 @@
     # will decode as much: what is reserved must be the same.
     output_tokens = event.max_tokens or pool.max_output_tokens
     ask = messages.Ask(
-        sender=board.identity.host,
-        epoch=board.identity.epoch,
+        **board.signature,
         request_id=event.request_id,
         attempt=event.attempt,
         shard="",
@@ -112,8 +111,7 @@
     event: events.CallAsked, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
     ask = messages.Ask(
-        sender=board.identity.host,
-        epoch=board.identity.epoch,
+        **board.signature,
         request_id=event.request_id,
         attempt=event.attempt,
         shard="",
@@ -165,8 +163,7 @@
     if grant is None:
         return
     prefilled = messages.Prefilled(
-        sender=board.identity.host,
-        epoch=board.identity.epoch,
+        **board.signature,
         grant_id=grant.grant_id,
         cached_tokens=event.cached_tokens,
     )
@@ -181,8 +178,7 @@
     if grant is None:
         return
     first = messages.FirstToken(
-        sender=board.identity.host,
-        epoch=board.identity.epoch,
+        **board.signature,
         grant_id=grant.grant_id,
     )
     yield actions.Send(grant.sender, first)
@@ -213,8 +209,7 @@
     board: boards.Board, grant: messages.Grant, event: events.RequestEnded
 ) -> actions.Send:
     release = messages.Release(
-        sender=board.identity.host,
-        epoch=board.identity.epoch,
+        **board.signature,
         grant_id=grant.grant_id,
         request_id=grant.request_id,
         clean=event.clean,
@@ -226,8 +221,7 @@
 
 def _withdraw(board: boards.Board, request: Request) -> actions.Send:
     withdraw = messages.Withdraw(
-        sender=board.identity.host,
-        epoch=board.identity.epoch,
+        **board.signature,
         request_id=request.ask.request_id,
         attempt=request.ask.attempt,
     )
@@ -326,8 +320,7 @@
     event: messages.HeartbeatMismatch, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
     grants = messages.GrantList(
-        sender=board.identity.host,
-        epoch=board.identity.epoch,
+        **board.signature,
         grant_ids=sorted(_grants_from(board, event.sender)),
     )
     yield actions.Send(event.sender, grants)
@@ -386,8 +379,7 @@
             grants.append(request.grant.grant_id)
     for host, grants in by_owner.items():
         heartbeat = messages.Heartbeat(
-            sender=board.identity.host,
-            epoch=board.identity.epoch,
+            **board.signature,
             count=len(grants),
             digest=leases.digest(grants),
         )
--- a/packages/hemlockreel/hemlockreel/feeds.py
+++ b/packages/hemlockreel/hemlockreel/feeds.py
@@ -113,8 +113,7 @@
     feed = board.state(State).feeds[name]
     head = messages.Head(name, feed.document.version, _age(feed, now))
     offer = messages.FeedOffer(
-        sender=board.identity.host,
-        epoch=board.identity.epoch,
+        **board.signature,
         heads=[head],
         partial=True,
     )
@@ -184,8 +183,7 @@
         for name, feed in board.state(State).feeds.items()
     ]
     offer = messages.FeedOffer(
-        sender=board.identity.host,
-        epoch=board.identity.epoch,
+        **board.signature,
         heads=heads,
         answer=answer,
     )
@@ -232,8 +230,7 @@
 ) -> actions.Send:
     feed = board.state(State).feeds[name]
     update = messages.FeedUpdate(
-        sender=board.identity.host,
-        epoch=board.identity.epoch,
+        **board.signature,
         feed=name,
         difference=documents.compare(feed.document, above),
         age_s=_age(feed, now),
--- a/packages/hemlockreel/hemlockreel/grants.py
+++ b/packages/hemlockreel/hemlockreel/grants.py
@@ -153,8 +153,7 @@
 ) -> actions.Send:
     """Returns the message that tells an entry its grant."""
     grant = messages.Grant(
-        sender=board.identity.host,
-        epoch=board.identity.epoch,
+        **board.signature,
         request_id=decision.ask.request_id,
         attempt=decision.ask.attempt,
         grant_id=decision.grant_id,
@@ -167,8 +166,7 @@
 
 def _refusal(board: boards.Board, denied: decisions.Denied) -> actions.Send:
     refusal = messages.Refusal(
-        sender=board.identity.host,
-        epoch=board.identity.epoch,
+        **board.signature,
         request_id=denied.ask.request_id,
         attempt=denied.ask.attempt,
         reason=denied.reason.value,
@@ -217,8 +215,7 @@
     if not grant_ids:
         return
     revoked = messages.Revoked(
-        sender=board.identity.host,
-        epoch=board.identity.epoch,
+        **board.signature,
         grant_ids=grant_ids,
     )
     yield actions.Send(entry, revoked)
--- a/packages/hemlockreel/hemlockreel/membership.py
+++ b/packages/hemlockreel/hemlockreel/membership.py
@@ -248,8 +248,7 @@
             yield actions.Send(
                 member.host,
                 messages.Gossip(
-                    sender=board.identity.host,
-                    epoch=board.identity.epoch,
+                    **board.signature,
                     updates=[update],
                 ),
             )
@@ -281,8 +280,7 @@
     if event.digest and event.digest == digest(board):
         return
     sync = messages.Sync(
-        sender=board.identity.host,
-        epoch=board.identity.epoch,
+        **board.signature,
         updates=[own_update(board), *table(board).members.values()],
     )
     yield actions.Send(event.sender, sync)
@@ -373,8 +371,7 @@
 
 def _request(board: boards.Board, host: str, own: int) -> actions.Send:
     request = messages.SyncRequest(
-        sender=board.identity.host,
-        epoch=board.identity.epoch,
+        **board.signature,
         updates=[own_update(board)],
         digest=own,
     )
--- a/packages/hemlockreel/hemlockreel/owner.py
+++ b/packages/hemlockreel/hemlockreel/owner.py
@@ -85,8 +85,7 @@
 
 def _queued(board: boards.Board, ask: messages.Ask) -> actions.Send:
     queued = messages.Queued(
-        sender=board.identity.host,
-        epoch=board.identity.epoch,
+        **board.signature,
         request_id=ask.request_id,
         attempt=ask.attempt,
     )
--- a/packages/hemlockreel/hemlockreel/probes.py
+++ b/packages/hemlockreel/hemlockreel/probes.py
@@ -139,8 +139,7 @@
 
 def _ack(board: boards.Board, seq: int, target: str, to: str) -> messages.Ack:
     return messages.Ack(
-        sender=board.identity.host,
-        epoch=board.identity.epoch,
+        **board.signature,
         seq=seq,
         target=target,
         updates=membership.pick_updates(board, to),
@@ -151,8 +150,7 @@
     state = board.state(State)
     state.seq += 1
     ping = messages.Ping(
-        sender=board.identity.host,
-        epoch=board.identity.epoch,
+        **board.signature,
         seq=state.seq,
         updates=membership.pick_updates(board, target),
     )
@@ -239,8 +237,7 @@
     count = min(INDIRECT_PROBES, len(helpers))
     for helper in board.rng.sample(helpers, count):
         request = messages.PingRequest(
-            sender=board.identity.host,
-            epoch=board.identity.epoch,
+            **board.signature,
             seq=seq,
             target=target,
             updates=membership.pick_updates(board, helper),
--- a/packages/hemlockreel/hemlockreel/region.py
+++ b/packages/hemlockreel/hemlockreel/region.py
@@ -141,8 +141,7 @@
     board: boards.Board, event: messages.ShardReport, retiring: list[str]
 ) -> actions.Send:
     plan = messages.ShardPlan(
-        sender=board.identity.host,
-        epoch=board.identity.epoch,
+        **board.signature,
         shard=event.shard,
         retiring=retiring,
     )
--- a/packages/hemlockreel/hemlockreel/registration.py
+++ b/packages/hemlockreel/hemlockreel/registration.py
@@ -160,8 +160,7 @@
     elsewhere: list[str],
 ) -> actions.Send:
     report = messages.GrantReport(
-        sender=board.identity.host,
-        epoch=board.identity.epoch,
+        **board.signature,
         seq=seq,
         grants=held,
         elsewhere=elsewhere,
@@ -173,8 +172,7 @@
     board: boards.Board, host: str, grant_ids: list[int]
 ) -> actions.Send:
     moved = messages.Moved(
-        sender=board.identity.host,
-        epoch=board.identity.epoch,
+        **board.signature,
         grant_ids=grant_ids,
     )
     return actions.Send(host, moved)
@@ -222,8 +220,7 @@
         return
     shard, grant = kept
     abandoned = messages.Abandoned(
-        sender=board.identity.host,
-        epoch=board.identity.epoch,
+        **board.signature,
         request_id=event.request_id,
         replicas=[grant.replica, grant.prefill],
     )
--- a/packages/hemlockreel/hemlockreel/renewal.py
+++ b/packages/hemlockreel/hemlockreel/renewal.py
@@ -58,8 +58,7 @@
     count, digest = held.summary(entry)
     if (count, digest) != (event.count, event.digest):
         mismatch = messages.HeartbeatMismatch(
-            sender=board.identity.host,
-            epoch=board.identity.epoch,
+            **board.signature,
             count=count,
         )
         yield actions.Send(event.sender, mismatch)
@@ -175,8 +174,7 @@
     board: boards.Board, entry: str, grant_ids: list[int], seq: int
 ) -> actions.Send:
     query = messages.GrantQuery(
-        sender=board.identity.host,
-        epoch=board.identity.epoch,
+        **board.signature,
         seq=seq,
         grant_ids=grant_ids,
     )
--- a/packages/hemlockreel/hemlockreel/shard_reports.py
+++ b/packages/hemlockreel/hemlockreel/shard_reports.py
@@ -84,8 +84,7 @@
             shape = book.shape(now)
             demands = (shape.prefill_demand, shape.decode_demand)
         yield messages.ShardReport(
-            sender=board.identity.host,
-            epoch=board.identity.epoch,
+            **board.signature,
             shard=shard,
             replicas=told,
             prefill_demand=demands[0],
--- a/packages/hemlockreel/hemlockreel/takeover.py
+++ b/packages/hemlockreel/hemlockreel/takeover.py
@@ -108,8 +108,7 @@
         del state.waiting[key]
         state.ledgers[shard].withdraw(*key)
         elsewhere = messages.AskElsewhere(
-            sender=board.identity.host,
-            epoch=board.identity.epoch,
+            **board.signature,
             request_id=key[0],
             attempt=key[1],
         )
@@ -200,8 +199,7 @@
     waits = {member.host for member in membership.live(board)}
     state.queries[state.seq] = Query(set(orphans), waits, now + GRACE_S)
     query = messages.GrantQuery(
-        sender=board.identity.host,
-        epoch=board.identity.epoch,
+        **board.signature,
         seq=state.seq,
         request_ids=sorted({request_id for _, request_id in orphans}),
     )
