Keep requests for the first lists of a host that has just started

A host listens before the store has told it the routes and the replicas, and refused with `not_configured` what came in between (106 requests after all hosts were lost, whose first lists took 0.8 to 1.7 s). Callers keep addresses, so the address answers don't prevent it.

Ruled out: to listen only after the first lists. Callers would meet refused connections instead, and the health check would have no listener.

Change: `starting` waits for both lists, at most until 2.5 s after the start and for half of the caller's time; never while the host stops. One line tells each wait.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
@@ -29,6 +29,7 @@
 from . import exchanges
 from . import generation
 from . import plain
+from . import starting
 from . import status
 from . import store_reader
 
@@ -56,8 +57,9 @@
 class Forwarder:
     """Everything of one forwarding daemon, built around its loop.
 
-    ``deployment``, ``phase`` and ``ready`` are replaced as a whole by the
-    loop and read by the workers.
+    ``deployment``, ``phase``, ``listed`` and ``ready`` are replaced as a
+    whole by the loop and read by the workers. ``listed`` says that the
+    replicas are known.
     """
 
     def __init__(
@@ -71,7 +73,9 @@
     ):
         self.deployment: deployments.Deployment | None = None
         self.phase = closing.Phase()
+        self.listed = False
         self.ready = False
+        self._created = clock.now()
         self.daemon = daemons.Daemon(
             found,
             daemon_edges,
@@ -132,10 +136,10 @@
             reader.direct(feeding.plan(board, kind, now))
         self.phase = closing.phase(board, now)
         self.deployment = versions.current(board)
+        self.listed = board.state(instances.State).known
         ready = status.is_ready(board)
         if ready != self.ready:
-            known = board.state(instances.State).known
-            fields = {"listed": known, "draining": self.phase.stopping}
+            fields = {"listed": self.listed, "draining": self.phase.stopping}
             logs.write("ready" if ready else "not_ready", fields)
         self.ready = ready
         if self.deployment is None:
@@ -180,6 +184,7 @@
         if isinstance(ask, edges.Wrong):
             self._refuse_wrong(exchange, ask)
             return
+        self._wait_for_lists(ask, arrived)
         job = self._find(ask, arrived)
         if isinstance(job, outcomes.Refused):
             fields = {"request_id": ask.id, "reason": job.reason.value}
@@ -201,6 +206,26 @@
         headers = self._tools.callers.refusal("", wrong.status, None)
         exchange.reply(wrong.status, headers, wrong.message.encode() + b"\n")
 
+    def _wait_for_lists(self, ask: edges.Ask, arrived: float) -> None:
+        if self._has_lists():
+            return
+        waited_s = starting.wait_until(
+            lambda: self._has_lists() or self.phase.stopping,
+            self._created,
+            arrived,
+            ask.deadline_s,
+        )
+        fields = {
+            "request_id": ask.id,
+            "waited_ms": round(waited_s * 1000),
+            "configured": self.deployment is not None,
+            "listed": self.listed,
+        }
+        logs.write("first_lists_awaited", fields)
+
+    def _has_lists(self) -> bool:
+        return self.deployment is not None and self.listed
+
     def _find(
         self, ask: edges.Ask, arrived: float
     ) -> carrying.Job | outcomes.Refused:
