Part the carrying of completions and plain calls from their wire format

Ruled out: one interface for these and for forwarding. A grant names two replicas and is released by the entry, a reservation is held by the replica; a common type would hold the fields of both.

Change: edges.py has the typed interface (Engines, Services and what they take and return), engine_client.py and service_client.py are its one implementation, tools.py puts them together. Moved, not copied. What is new: an answer to a prefill that lacks a field was a KeyError in the worker and is a failed attempt now, and failed prefills and cut streams leave a line.

The platform's daemon runs none of the changed functions but engine_client.control, which is as it was.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/callers.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/callers.py
@@ -18,6 +18,7 @@
 from . import generate
 from . import routing
 from . import servers
+from . import tools as toolboxes
 
 MAX_COMPLETION_BYTES = 4 * 2**20
 ORGANISATION_HEADER = "X-Organisation"
@@ -30,6 +31,7 @@
 
     def __init__(self, daemon: daemons.Daemon):
         self._daemon = daemon
+        self._tools = toolboxes.own(daemon)
         self._lock = threading.Lock()
         self.active = 0
 
@@ -125,7 +127,7 @@
         limited = routing.limit(self._daemon.loop.configuration, job)
         if isinstance(limited, outcomes.Refused):
             return answers.refuse(limited, request_id)
-        parts = generate.run_traced(self._daemon, limited)
+        parts = generate.run_traced(self._tools, limited)
         if completion.stream:
             return completions.stream(
                 self._daemon, request_id, parts, job.caller
@@ -166,7 +168,7 @@
             _caller(),
             request.headers.get("traceparent", ""),
         )
-        return self._show(calls.run(self._daemon, job), request_id)
+        return self._show(calls.run(self._tools, job), request_id)
 
     def _show(self, carried: calls.Carried, request_id: str) -> bytes:
         response = cherrypy.response
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/calls.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/calls.py
@@ -3,7 +3,6 @@
 import socket
 from typing import NamedTuple
 
-import urllib3
 import xxhash
 
 from hemlockreel import claims
@@ -13,22 +12,14 @@
 from hemlockreel import outcomes
 
 from . import clock
-from . import daemon as daemons
-from . import hop_headers
-from . import http_calls
+from . import edges
 from . import mailbox
+from . import tools as toolboxes
 
 CLAIM_TIMEOUT_S = 5.0
 MAX_ATTEMPTS = 3
 RETRY_AFTER_S = 1.0
 
-# Headers that this daemon sets itself, beside those of one connection.
-OWN_HEADERS = hop_headers.NAMES | {
-    "x-request-id",
-    "x-attempt",
-    "traceparent",
-}
-
 
 class Job(NamedTuple):
     """A caller's checked plain call; ``target`` is path and query."""
@@ -53,8 +44,9 @@
     replica: str = ""
 
 
-def run(daemon: daemons.Daemon, job: Job) -> Carried:
+def run(tools: toolboxes.Tools, job: Job) -> Carried:
     """Returns the outcome of one plain call."""
+    daemon = tools.daemon
     with (
         daemon.carry(job.request_id, job.caller) as box,
         daemon.traces.span(
@@ -62,14 +54,15 @@
         ) as traceparent,
     ):
         below = job._replace(traceparent=traceparent)
-        return _Carrier(daemon, below, box).run()
+        return _Carrier(tools, below, box).run()
 
 
 class _Carrier:
     """The tries of one plain call."""
 
-    def __init__(self, daemon: daemons.Daemon, job: Job, box: mailbox.Mailbox):
-        self._daemon = daemon
+    def __init__(self, tools: toolboxes.Tools, job: Job, box: mailbox.Mailbox):
+        self._daemon = tools.daemon
+        self._services = tools.services
         self._job = job
         self._box = box
         self._idempotent = job.method not in job.route.non_idempotent
@@ -208,82 +201,45 @@
         if self._box.stopped is not None:
             return outcomes.not_run(self._box.stopped.reason)
         box = self._box if self._send_until is None else None
+        call = edges.Call(
+            job.request_id,
+            attempt,
+            job.method,
+            job.target,
+            job.headers,
+            job.body,
+        )
         with self._daemon.traces.span(
             "call",
             job.traceparent,
             request_id=job.request_id,
             replica=grant.replica,
         ) as traceparent:
-            opened = http_calls.open_call(
+            answer = self._services.call(
                 grant.replica,
-                job.method,
-                job.target,
-                job.body or None,
-                self._headers(attempt, traceparent),
+                call,
+                traceparent,
                 job.route.timeout_ms / 1000,
                 box,
             )
-            if isinstance(opened, http_calls.Failed):
-                return self._failed(opened)
-            try:
-                with http_calls.interrupting(box, opened.sock):
-                    return self._read(opened, attempt)
-            finally:
-                opened.close()
-
-    def _headers(
-        self, attempt: int, traceparent: str
-    ) -> urllib3.HTTPHeaderDict:
-        """Returns the caller's headers as the backend server gets them."""
-        headers = hop_headers.pass_on(self._job.headers, OWN_HEADERS)
-        headers["X-Request-Id"] = self._job.request_id
-        headers["X-Attempt"] = str(attempt)
-        headers["traceparent"] = traceparent
-        return headers
-
-    def _read(
-        self, opened: http_calls.Opened, attempt: int
-    ) -> outcomes.Answered | outcomes.Refused:
-        response = opened.response
-        try:
-            body = response.read(decode_content=False)
-        except http_calls.FAILURES as error:
-            return self._failed(http_calls.describe(error))
-        found = (
-            response.headers.get("X-Request-Id"),
-            response.headers.get("X-Attempt"),
-        )
-        if found != (self._job.request_id, str(attempt)):
-            self._daemon.metrics.count("wrong_answers")
-            return outcomes.unknown(
-                outcomes.Reason.BACKEND_FAILED,
-                "the backend server answered another request",
-            )
-        dropped = {
-            *OWN_HEADERS,
-            *hop_headers.named_in_connection(response.headers.items()),
-        }
-        if self._job.method == "HEAD":
-            dropped.discard("content-length")
-        headers = tuple(
-            (name, value)
-            for name, value in response.headers.items()
-            if name.lower() not in dropped
-        )
-        return outcomes.Answered(response.status, headers, body)
+        if isinstance(answer, edges.Unanswered):
+            return self._unanswered(answer)
+        return answer
 
-    def _failed(self, failed: http_calls.Failed) -> outcomes.Refused:
-        """Turns a call without an answer into a refusal."""
-        if not failed.sent:
+    def _unanswered(self, found: edges.Unanswered) -> outcomes.Refused:
+        """Turns a call without an answer of its own into a refusal."""
+        if not found.sent:
             return outcomes.not_run(
-                outcomes.Reason.BACKEND_FAILED, RETRY_AFTER_S, failed.detail
+                outcomes.Reason.BACKEND_FAILED, RETRY_AFTER_S, found.detail
             )
         reason = outcomes.Reason.BACKEND_FAILED
-        if self._box.stopped is not None:
+        if found.misplaced:
+            self._daemon.metrics.count("wrong_answers")
+        elif self._box.stopped is not None:
             reason = self._box.stopped.reason
-        elif failed.silent:
+        elif found.silent:
             reason = outcomes.Reason.BACKEND_SILENT
-        return outcomes.unknown(reason, failed.detail)
+        return outcomes.unknown(reason, found.detail)
 
     def _end(self, attempt: int, failed: bool) -> None:
         self._daemon.loop.post(
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/decoding.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/decoding.py
@@ -2,27 +2,22 @@
 
 from collections.abc import Iterator
 import time
-from typing import Any
 from typing import NamedTuple
 
 from hemlockreel import events
 from hemlockreel import messages
 from hemlockreel import outcomes
 
-from . import daemon as daemons
-from . import engine_client
+from . import edges
 from . import http_calls
 from . import mailbox
+from . import tools as toolboxes
 
 OPEN_TIMEOUT_S = 10.0  # a transfer over a busy link takes its time
 SILENCE_S = 2.0  # a stream without a token for so long is resumed
 MAX_RESUMES = 5  # in a row, without a token in between
 RESUME_PAUSE_S = 0.1  # doubled with each resume in a row
-
-SERVER_ERROR = 500
-EVICTED = 409  # the engine says that it did not decode, in both cases
-MEMORY_FULL = 507
-NOT_RUN_STATUSES = (EVICTED, MEMORY_FULL)
+NOT_RUN = (edges.Cause.EVICTED, edges.Cause.MEMORY_FULL)
 # Memory that was granted ahead of a release may come free a moment later. The
 # prefill result is evicted after about as long.
 FULL_WAIT_S = 0.8
@@ -55,16 +50,17 @@
 
     def __init__(
         self,
-        daemon: daemons.Daemon,
+        tools: toolboxes.Tools,
         box: mailbox.Mailbox,
         grant: messages.Grant,
-        body: dict[str, Any],
+        asked: edges.Continuation,
         traceparent: str,
     ):
-        self._daemon = daemon
+        self._daemon = tools.daemon
+        self._engines = tools.engines
         self._box = box
         self._grant = grant
-        self._body = body
+        self._asked = asked
         self._traceparent = traceparent
         self.output_tokens = 0
 
@@ -104,7 +100,7 @@
         if not isinstance(opened, http_calls.Opened):
             return opened
         try:
-            for token in engine_client.tokens(opened, SILENCE_S, self._box):
+            for token in self._engines.tokens(opened, SILENCE_S, self._box):
                 if not self._is_mine(token):
                     continue
                 if token.offset > self.output_tokens:
@@ -136,7 +132,7 @@
         self,
     ) -> http_calls.Opened | Failed | outcomes.Refused | None:
         """Starts or resumes the decode; ``None`` when the call failed."""
-        body = {**self._body, "offset": self.output_tokens}
+        asked = self._asked._replace(offset=self.output_tokens)
         with self._daemon.traces.span(
             "transfer",
             self._traceparent,
@@ -144,48 +140,51 @@
             source=self._grant.prefill,
             replica=self._grant.replica,
         ) as traceparent:
-            opened = engine_client.decode(
+            opened = self._engines.decode(
                 self._grant.replica,
-                body,
+                asked,
                 traceparent,
                 OPEN_TIMEOUT_S,
                 self._box,
             )
-        if isinstance(opened, http_calls.Failed):
+        if isinstance(opened, edges.NotDecoding):
             return self._not_opened(opened)
-        status = opened.response.status
-        if status == 200:
-            return opened
-        opened.close()
-        if self.output_tokens == 0 and status in NOT_RUN_STATUSES:
+        return opened
+
+    def _not_opened(
+        self, found: edges.NotDecoding
+    ) -> Failed | outcomes.Refused | None:
+        cause = found.cause
+        if cause is edges.Cause.LOST:
+            return None
+        if cause is edges.Cause.UNREACHED:
+            if self.output_tokens:
+                return None
+            return Failed((self._grant.replica,), fault=True)
+        full = cause is edges.Cause.MEMORY_FULL
+        if self.output_tokens == 0 and cause in NOT_RUN:
             # A prefill result that was evicted is no fault of the engine.
-            full = status == MEMORY_FULL
             exclude = (self._grant.replica,) if full else ()
             return Failed(exclude, fault=False, memory_full=full)
         # An engine that answers has lost this request, but it works.
         reason = outcomes.Reason.BACKEND_REFUSED
-        if status >= SERVER_ERROR:
+        if full or cause is edges.Cause.FAILED:
             reason = outcomes.Reason.BACKEND_FAILED
-        return outcomes.unknown(reason, f"the engine answered {status}")
-
-    def _not_opened(self, failed: http_calls.Failed) -> Failed | None:
-        if failed.sent or self.output_tokens:
-            return None
-        return Failed((self._grant.replica,), fault=True)
+        return outcomes.unknown(reason, found.detail)
 
-    def _is_mine(self, token: engine_client.Token) -> bool:
+    def _is_mine(self, token: edges.Token) -> bool:
         mine = (token.request_id, token.attempt) == (
-            self._body["request_id"],
-            self._body["attempt"],
+            self._asked.request_id,
+            self._asked.attempt,
         )
         if not mine:
             self._daemon.metrics.count("wrong_answers")
         return mine
 
-    def _take(self, token: engine_client.Token) -> Iterator[str]:
+    def _take(self, token: edges.Token) -> Iterator[str]:
         """Yields the text of the next token of this request."""
         if self.output_tokens == 0:
-            first = events.FirstTokenCame(self._body["request_id"])
+            first = events.FirstTokenCame(self._asked.request_id)
             self._daemon.loop.post(first)
         self.output_tokens += 1
         if token.text:
--- /dev/null
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/edges.py
@@ -0,0 +1,172 @@
+"""What carrying completions and plain calls needs of backend servers.
+
+An edge decodes a protocol into the types below and encodes them again. It
+decides nothing and keeps no state of a request.
+"""
+
+from collections.abc import Iterator
+import enum
+from typing import NamedTuple
+from typing import Protocol
+
+from hemlockreel import outcomes
+
+from . import http_calls
+from . import mailbox
+
+
+class Prompt(NamedTuple):
+    """A prompt that one attempt of a request has read."""
+
+    request_id: str
+    attempt: int
+    text: str
+    priority: int
+
+
+class Prefilled(NamedTuple):
+    """A prompt that an engine has read and keeps under ``handle``."""
+
+    handle: str
+    prompt_tokens: int
+    cached_tokens: int
+
+
+class NotPrefilled(NamedTuple):
+    """A prompt that was not read.
+
+    ``sent`` tells whether any byte may have reached the engine, ``misplaced``
+    that it answered another request.
+    """
+
+    sent: bool
+    detail: str
+    misplaced: bool = False
+
+
+class Continuation(NamedTuple):
+    """The decode of a prompt that was read at ``source``.
+
+    It begins with the token number ``offset`` of the answer.
+    """
+
+    request_id: str
+    attempt: int
+    handle: str
+    source: str
+    prompt_tokens: int
+    max_tokens: int
+    priority: int
+    offset: int = 0
+
+
+class Token(NamedTuple):
+    """One token of an answer; ``offset`` counts from 0."""
+
+    request_id: str
+    attempt: int
+    offset: int
+    text: str
+    done: bool
+
+
+class Cause(enum.Enum):
+    """Why a decode gave no stream of tokens."""
+
+    UNREACHED = "unreached"  # no byte was sent
+    LOST = "lost"  # it may run, its answer did not come
+    EVICTED = "evicted"  # the engine does not have the prompt any more
+    MEMORY_FULL = "memory_full"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+class NotDecoding(NamedTuple):
+    """A decode without a stream of tokens."""
+
+    cause: Cause
+    detail: str
+
+
+class Engines(Protocol):
+    """Engines of models."""
+
+    def prefill(
+        self,
+        address: str,
+        prompt: Prompt,
+        traceparent: str,
+        timeout_s: float,
+        box: mailbox.Mailbox,
+    ) -> Prefilled | NotPrefilled:
+        """Has a prompt read."""
+        ...
+
+    def decode(
+        self,
+        address: str,
+        asked: Continuation,
+        traceparent: str,
+        timeout_s: float,
+        box: mailbox.Mailbox,
+    ) -> http_calls.Opened | NotDecoding:
+        """Begins a stream of tokens, or goes on with it."""
+        ...
+
+    def tokens(
+        self,
+        opened: http_calls.Opened,
+        silence_s: float,
+        box: mailbox.Mailbox,
+    ) -> Iterator[Token]:
+        """Yields the tokens of a stream, and ends early when it is cut.
+
+        ``silence_s`` is the longest wait for the next bytes.
+        """
+        ...
+
+    def cancel(self, address: str, request_id: str, timeout_s: float) -> bool:
+        """Cancels a request; true if the engine holds nothing of it."""
+        ...
+
+
+class Call(NamedTuple):
+    """One sending of a plain call; ``target`` is path and query."""
+
+    request_id: str
+    attempt: int
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class Unanswered(NamedTuple):
+    """A sending without an answer of its own.
+
+    ``sent`` tells whether any byte may have arrived, ``silent`` that the time
+    passed without an answer, ``misplaced`` that another request was answered.
+    """
+
+    sent: bool
+    detail: str
+    silent: bool = False
+    misplaced: bool = False
+
+
+class Services(Protocol):
+    """Plain services."""
+
+    def call(
+        self,
+        address: str,
+        call: Call,
+        traceparent: str,
+        timeout_s: float,
+        box: mailbox.Mailbox | None,
+    ) -> outcomes.Answered | Unanswered:
+        """Sends a call once and returns its whole answer.
+
+        Without a ``box`` nothing ends the call before its time.
+        """
+        ...
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/engine_client.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/engine_client.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterator
 import json
-from typing import Any
 
 import msgspec
 
@@ -10,7 +9,9 @@
 from hemlockreel import events
 
 from . import clock
+from . import edges
 from . import http_calls
+from . import logs
 from . import mailbox
 
 CONTROL_PATHS = {
@@ -22,7 +23,14 @@
 }
 
 
-class Token(msgspec.Struct, frozen=True):
+OK = 200
+SERVER_ERROR = 500
+# By both of these the engine says that it did not decode.
+EVICTED = 409
+MEMORY_FULL = 507
+
+
+class _Line(msgspec.Struct, frozen=True):
     """One line of a decode stream."""
 
     request_id: str
@@ -32,7 +40,17 @@
     done: bool
 
 
-_decoder = msgspec.json.Decoder(Token)
+class _Read(msgspec.Struct, frozen=True):
+    """The answer to a prefill."""
+
+    request_id: str
+    attempt: int
+    handle: str
+    prompt_tokens: int
+    cached_tokens: int
+
+
+_decoder = msgspec.json.Decoder(_Line)
 
 
 def control(action: actions.CallEngine) -> events.EngineAnswered:
@@ -52,74 +70,130 @@
     )
 
 
-def cancel(address: str, request_id: str, timeout_s: float) -> bool:
-    """Cancels a request; returns whether the engine holds nothing of it."""
-    answer = http_calls.call_json(
-        address,
-        "POST",
-        CONTROL_PATHS["cancel"],
-        {"request_id": request_id},
-        timeout_s=timeout_s,
-    )
-    if isinstance(answer, http_calls.Failed) or answer[0] != 200:
-        return False
-    return answer[1].get("held") is False
-
-
 def _unanswered(action: actions.CallEngine) -> events.EngineAnswered:
     return events.EngineAnswered(
         action.call_id, action.address, action.operation, 0, {}
     )
 
 
-def prefill(
-    address: str,
-    body: dict[str, Any],
-    traceparent: str,
-    timeout_s: float,
-    box: mailbox.Mailbox,
-) -> tuple[int, dict[str, Any]] | http_calls.Failed:
-    """Runs a prefill; returns the status and the answer."""
-    headers = {"traceparent": traceparent}
-    answer = http_calls.call_json(
-        address, "POST", "/v1/prefill", body, headers, timeout_s, box
-    )
-    return answer if isinstance(answer, http_calls.Failed) else answer[:2]
-
-
-def decode(
-    address: str,
-    body: dict[str, Any],
-    traceparent: str,
-    timeout_s: float,
-    box: mailbox.Mailbox,
-) -> http_calls.Opened | http_calls.Failed:
-    """Starts or resumes a decode; read the stream with :func:`tokens`."""
-    data = json.dumps(body).encode()
-    headers = {
-        "Content-Type": "application/json",
-        "traceparent": traceparent,
-    }
-    return http_calls.open_call(
-        address, "POST", "/v1/decode", data, headers, timeout_s, box
+class Engines:
+    """The data path of engines over HTTP; see docs/design/protocols.md."""
+
+    def prefill(
+        self,
+        address: str,
+        prompt: edges.Prompt,
+        traceparent: str,
+        timeout_s: float,
+        box: mailbox.Mailbox,
+    ) -> edges.Prefilled | edges.NotPrefilled:
+        """Has a prompt read."""
+        body = {
+            "request_id": prompt.request_id,
+            "attempt": prompt.attempt,
+            "prompt": prompt.text,
+            "priority": prompt.priority,
+        }
+        headers = {"traceparent": traceparent}
+        answer = http_calls.call_json(
+            address, "POST", "/v1/prefill", body, headers, timeout_s, box
+        )
+        if isinstance(answer, http_calls.Failed):
+            return edges.NotPrefilled(answer.sent, answer.detail)
+        if answer[0] != OK:
+            detail = f"the engine answered {answer[0]}"
+            return edges.NotPrefilled(True, detail)
+        return _decode_prefilled(prompt, answer[1])
+
+    def decode(
+        self,
+        address: str,
+        asked: edges.Continuation,
+        traceparent: str,
+        timeout_s: float,
+        box: mailbox.Mailbox,
+    ) -> http_calls.Opened | edges.NotDecoding:
+        """Starts or resumes a decode."""
+        headers = {
+            "Content-Type": "application/json",
+            "traceparent": traceparent,
+        }
+        data = json.dumps(asked._asdict()).encode()
+        opened = http_calls.open_call(
+            address, "POST", "/v1/decode", data, headers, timeout_s, box
+        )
+        if isinstance(opened, http_calls.Failed):
+            lost = edges.Cause.LOST if opened.sent else edges.Cause.UNREACHED
+            return edges.NotDecoding(lost, opened.detail)
+        status = opened.response.status
+        if status == OK:
+            return opened
+        opened.close()
+        detail = f"the engine answered {status}"
+        return edges.NotDecoding(_find_cause(status), detail)
+
+    def tokens(
+        self,
+        opened: http_calls.Opened,
+        silence_s: float,
+        box: mailbox.Mailbox,
+    ) -> Iterator[edges.Token]:
+        """Yields the tokens of a stream, and ends early when it is cut.
+
+        A line that is no token ends the stream too.
+        """
+        rest = b""
+        try:
+            opened.sock.settimeout(silence_s)
+            with box.interrupting(opened.sock):
+                for chunk in opened.response.stream(
+                    None, decode_content=False
+                ):
+                    *lines, rest = (rest + chunk).split(b"\n")
+                    for line in lines:
+                        found = _decoder.decode(line)
+                        yield edges.Token(*msgspec.structs.astuple(found))
+        except (*http_calls.FAILURES, msgspec.MsgspecError) as error:
+            fields = {"detail": f"{type(error).__name__}: {error}"}
+            logs.write("tokens_cut", fields)
+
+    def cancel(self, address: str, request_id: str, timeout_s: float) -> bool:
+        """Cancels a request; true if the engine holds nothing of it."""
+        answer = http_calls.call_json(
+            address,
+            "POST",
+            CONTROL_PATHS["cancel"],
+            {"request_id": request_id},
+            timeout_s=timeout_s,
+        )
+        if isinstance(answer, http_calls.Failed) or answer[0] != OK:
+            return False
+        return answer[1].get("held") is False
+
+
+def _decode_prefilled(
+    prompt: edges.Prompt, answer: object
+) -> edges.Prefilled | edges.NotPrefilled:
+    try:
+        found = msgspec.convert(answer, _Read)
+    except msgspec.ValidationError as error:
+        return edges.NotPrefilled(True, f"the engine's answer: {error}")
+    if (found.request_id, found.attempt) != (
+        prompt.request_id,
+        prompt.attempt,
+    ):
+        detail = "the engine answered another request"
+        return edges.NotPrefilled(True, detail, misplaced=True)
+    return edges.Prefilled(
+        found.handle, found.prompt_tokens, found.cached_tokens
     )
 
 
-def tokens(
-    opened: http_calls.Opened, silence_s: float, box: mailbox.Mailbox
-) -> Iterator[Token]:
-    """Yields the tokens of a stream, and ends early when it is cut.
-
-    ``silence_s`` is the longest wait for the next bytes. A line that is no
-    token ends the stream too.
-    """
-    rest = b""
-    try:
-        opened.sock.settimeout(silence_s)
-        with box.interrupting(opened.sock):
-            for chunk in opened.response.stream(None, decode_content=False):
-                *lines, rest = (rest + chunk).split(b"\n")
-                for line in lines:
-                    yield _decoder.decode(line)
-    except (*http_calls.FAILURES, msgspec.MsgspecError):
-        return
+def _find_cause(status: int) -> edges.Cause:
+    if status == EVICTED:
+        return edges.Cause.EVICTED
+    if status == MEMORY_FULL:
+        return edges.Cause.MEMORY_FULL
+    if status >= SERVER_ERROR:
+        return edges.Cause.FAILED
+    return edges.Cause.REFUSED
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/generate.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/generate.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterator
 import socket
 import time
-from typing import Any
 from typing import NamedTuple
 
 from hemlockreel import events
@@ -11,11 +10,11 @@
 from hemlockreel import outcomes
 from hemlockreel import prefixes
 
-from . import daemon as daemons
 from . import decoding
-from . import engine_client
-from . import http_calls
+from . import edges
+from . import logs
 from . import mailbox
+from . import tools as toolboxes
 from . import traces
 
 GRANT_MARGIN_S = 1.0  # the entry's own deadline ends the wait before this
@@ -53,23 +52,23 @@
 Part = Hop | str | decoding.Finished | outcomes.Refused
 
 
-def run(daemon: daemons.Daemon, job: Job) -> Iterator[Part]:
+def run(tools: toolboxes.Tools, job: Job) -> Iterator[Part]:
     """Yields the hop, the pieces of text and the end of one completion.
 
     The last part is :class:`decoding.Finished` or a refusal. A refusal after
     text means that the answer was cut and the text is not the whole answer.
     """
-    with daemon.carry(job.request_id, job.caller) as box:
-        yield from _try(daemon, job, box)
+    with tools.daemon.carry(job.request_id, job.caller) as box:
+        yield from _try(tools, job, box)
 
 
 def _try(
-    daemon: daemons.Daemon, job: Job, box: mailbox.Mailbox
+    tools: toolboxes.Tools, job: Job, box: mailbox.Mailbox
 ) -> Iterator[Part]:
     excluded: tuple[str, ...] = ()
     ran = False
     for number in range(1, MAX_ATTEMPTS + 1):
-        attempt = _Attempt(daemon, job, box, number, excluded)
+        attempt = _Attempt(tools, job, box, number, excluded)
         for part in attempt.run():
             yield _admit(part) if ran else part
         if attempt.retry_without is None:
@@ -98,13 +97,14 @@
 
     def __init__(
         self,
-        daemon: daemons.Daemon,
+        tools: toolboxes.Tools,
         job: Job,
         box: mailbox.Mailbox,
         number: int,
         excluded: tuple[str, ...],
     ):
-        self._daemon = daemon
+        self._daemon = tools.daemon
+        self._tools = tools
         self._job = job
         self._box = box
         self._number = number
@@ -168,52 +168,67 @@
 
     def _prefill(
         self, grant: messages.Grant
-    ) -> dict[str, Any] | outcomes.Refused | None:
-        """Returns the engine's answer, ``None`` when another try may help."""
+    ) -> edges.Prefilled | outcomes.Refused | None:
+        """Returns the prompt's handle, ``None`` if another try may help."""
         job = self._job
-        body = {
-            "request_id": job.request_id,
-            "attempt": self._number,
-            "prompt": job.prompt,
-            "priority": job.priority,
-        }
+        prompt = edges.Prompt(
+            job.request_id, self._number, job.prompt, job.priority
+        )
         with self._daemon.traces.span(
             "prefill",
             job.traceparent,
             request_id=job.request_id,
             replica=grant.prefill,
         ) as traceparent:
-            answer = engine_client.prefill(
-                grant.prefill, body, traceparent, PREFILL_TIMEOUT_S, self._box
+            answer = self._tools.engines.prefill(
+                grant.prefill,
+                prompt,
+                traceparent,
+                PREFILL_TIMEOUT_S,
+                self._box,
             )
-        failed = isinstance(answer, http_calls.Failed)
+        failed = isinstance(answer, edges.NotPrefilled)
         self.sent = not failed or answer.sent
         if self._box.stopped is not None:
             return outcomes.unknown(self._box.stopped.reason)
-        if failed or answer[0] != 200 or not self._is_mine(answer[1]):
-            self._failed = True
-            self._clean = not self.sent
-            self._give_up(grant, (grant.prefill,))
+        if failed:
+            self._note_failed(grant, answer)
             return None
-        cached = answer[1]["cached_tokens"]
-        self._daemon.loop.post(events.PrefillEnded(job.request_id, cached))
-        return answer[1]
+        ended = events.PrefillEnded(job.request_id, answer.cached_tokens)
+        self._daemon.loop.post(ended)
+        return answer
+
+    def _note_failed(
+        self, grant: messages.Grant, answer: edges.NotPrefilled
+    ) -> None:
+        if answer.misplaced:
+            self._daemon.metrics.count("wrong_answers")
+        fields = {
+            "request_id": self._job.request_id,
+            "attempt": self._number,
+            "replica": grant.prefill,
+            "detail": answer.detail,
+        }
+        logs.write("prefill_failed", fields)
+        self._failed = True
+        self._clean = not self.sent
+        self._give_up(grant, (grant.prefill,))
 
     def _decode(
-        self, grant: messages.Grant, prefilled: dict[str, Any]
+        self, grant: messages.Grant, prefilled: edges.Prefilled
     ) -> Iterator[Part]:
         job = self._job
-        body = {
-            "request_id": job.request_id,
-            "attempt": self._number,
-            "handle": prefilled["handle"],
-            "source": grant.prefill,
-            "prompt_tokens": prefilled["prompt_tokens"],
-            "max_tokens": job.max_tokens,
-            "priority": job.priority,
-        }
+        asked = edges.Continuation(
+            job.request_id,
+            self._number,
+            prefilled.handle,
+            grant.prefill,
+            prefilled.prompt_tokens,
+            job.max_tokens,
+            job.priority,
+        )
         decode = decoding.Decode(
-            self._daemon, self._box, grant, body, job.traceparent
+            self._tools, self._box, grant, asked, job.traceparent
         )
         try:
             for part in decode.run():
@@ -243,7 +258,7 @@
             unconfirmed = [
                 address
                 for address in (grant.prefill, grant.replica)
-                if not engine_client.cancel(
+                if not self._tools.engines.cancel(
                     address, self._job.request_id, CANCEL_TIMEOUT_S
                 )
             ]
@@ -252,18 +267,10 @@
             unconfirmed = [grant.prefill, grant.replica]
         self.retry_without = tuple({*exclude, *unconfirmed})
 
-    def _is_mine(self, answer: dict[str, Any]) -> bool:
-        mine = (answer.get("request_id"), answer.get("attempt")) == (
-            self._job.request_id,
-            self._number,
-        )
-        if not mine:
-            self._daemon.metrics.count("wrong_answers")
-        return mine
-
 
-def run_traced(daemon: daemons.Daemon, job: Job) -> Iterator[Part]:
+def run_traced(tools: toolboxes.Tools, job: Job) -> Iterator[Part]:
     """Does :func:`run` under a span ``entry`` with a span ``decode``."""
+    daemon = tools.daemon
     started = time.monotonic()
     entry = daemon.traces.start(
         "entry", job.traceparent, request_id=job.request_id
@@ -271,7 +278,7 @@
     below = job._replace(traceparent=traces.traceparent_of(entry))
     decode = None
     try:
-        for part in run(daemon, below):
+        for part in run(tools, below):
             if decode is None and isinstance(part, str):
                 daemon.metrics.first_token.observe(time.monotonic() - started)
                 decode = daemon.traces.start(
--- /dev/null
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/service_client.py
@@ -0,0 +1,103 @@
+"""The client of plain services."""
+
+import urllib3
+
+from hemlockreel import outcomes
+
+from . import edges
+from . import hop_headers
+from . import http_calls
+from . import mailbox
+
+REQUEST_ID = "X-Request-Id"
+ATTEMPT = "X-Attempt"
+TRACE = "traceparent"
+
+# Headers that this daemon sets itself, beside those of one connection.
+OWN_HEADERS = hop_headers.NAMES | {
+    REQUEST_ID.lower(),
+    ATTEMPT.lower(),
+    TRACE,
+}
+
+
+class Services:
+    """Calls of plain services over HTTP; see docs/design/protocols.md."""
+
+    def call(
+        self,
+        address: str,
+        call: edges.Call,
+        traceparent: str,
+        timeout_s: float,
+        box: mailbox.Mailbox | None,
+    ) -> outcomes.Answered | edges.Unanswered:
+        """Sends a call once and returns its whole answer."""
+        opened = http_calls.open_call(
+            address,
+            call.method,
+            call.target,
+            call.body or None,
+            _encode_headers(call, traceparent),
+            timeout_s,
+            box,
+        )
+        if isinstance(opened, http_calls.Failed):
+            return _unanswered(opened)
+        try:
+            with http_calls.interrupting(box, opened.sock):
+                return _read(opened, call)
+        finally:
+            opened.close()
+
+
+def _encode_headers(
+    call: edges.Call, traceparent: str
+) -> urllib3.HTTPHeaderDict:
+    """Returns the caller's headers as the backend server gets them."""
+    headers = hop_headers.pass_on(call.headers, OWN_HEADERS)
+    headers[REQUEST_ID] = call.request_id
+    headers[ATTEMPT] = str(call.attempt)
+    headers[TRACE] = traceparent
+    return headers
+
+
+def _read(
+    opened: http_calls.Opened, call: edges.Call
+) -> outcomes.Answered | edges.Unanswered:
+    response = opened.response
+    try:
+        body = response.read(decode_content=False)
+    except http_calls.FAILURES as error:
+        return _unanswered(http_calls.describe(error))
+    found = (response.headers.get(REQUEST_ID), response.headers.get(ATTEMPT))
+    if found != (call.request_id, str(call.attempt)):
+        return edges.Unanswered(
+            True,
+            "the backend server answered another request",
+            misplaced=True,
+        )
+    return outcomes.Answered(
+        response.status, _decode_headers(response, call), body
+    )
+
+
+def _decode_headers(
+    response: urllib3.BaseHTTPResponse, call: edges.Call
+) -> tuple[tuple[str, str], ...]:
+    """Returns the headers that are for the caller."""
+    dropped = {
+        *OWN_HEADERS,
+        *hop_headers.named_in_connection(response.headers.items()),
+    }
+    if call.method == "HEAD":
+        dropped.discard("content-length")
+    return tuple(
+        (name, value)
+        for name, value in response.headers.items()
+        if name.lower() not in dropped
+    )
+
+
+def _unanswered(failed: http_calls.Failed) -> edges.Unanswered:
+    return edges.Unanswered(failed.sent, failed.detail, failed.silent)
--- /dev/null
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/tools.py
@@ -0,0 +1,21 @@
+"""What the carriers of completions and of plain calls work with."""
+
+from typing import NamedTuple
+
+from . import daemon as daemons
+from . import edges
+from . import engine_client
+from . import service_client
+
+
+class Tools(NamedTuple):
+    """A daemon and its backend servers."""
+
+    daemon: daemons.Daemon
+    engines: edges.Engines
+    services: edges.Services
+
+
+def own(daemon: daemons.Daemon) -> Tools:
+    """Returns the clients of the product's own protocols."""
+    return Tools(daemon, engine_client.Engines(), service_client.Services())
--- /dev/null
+++ b/standins/hemlockreel_standins/carrier_rig.py
@@ -0,0 +1,75 @@
+"""Carriers of the product's own requests without a network or a loop."""
+
+from collections.abc import Iterator
+import contextlib
+import types
+from typing import Any
+
+from hemlockreel import claims
+from hemlockreel import events
+from hemlockreel import messages
+from hemlockreel_daemon import mailbox
+from hemlockreel_daemon import metrics
+
+CLAIM_S = 60.0  # a claim is held for so long
+
+
+class Daemon:
+    """A daemon whose loop grants each attempt and each claim at once.
+
+    ``excluded`` are the replicas that each attempt leaves out, ``ended`` the
+    attempts that ended, ``claims`` the claims that were asked for and
+    ``outcomes`` what was recorded of them. ``clock`` is the time at which a
+    claim is given.
+    """
+
+    def __init__(self, clock: Any = None):
+        self.box = mailbox.Mailbox()
+        self.metrics = metrics.Metrics()
+        self.loop = self
+        self.traces = self
+        self.rng = types.SimpleNamespace(random=lambda: 0.0)
+        self.excluded: list[tuple[str, ...]] = []
+        self.ended: list[events.RequestEnded] = []
+        self.claims: list[events.ClaimAsked] = []
+        self.outcomes: list[Any] = []
+        self._clock = clock
+
+    @contextlib.contextmanager
+    def carry(self, request_id: str, caller: Any) -> Iterator[mailbox.Mailbox]:
+        """Yields the mailbox of the only request."""
+        yield self.box
+
+    @contextlib.contextmanager
+    def span(self, name: str, parent: str, **fields: Any) -> Iterator[str]:
+        """Traces nothing."""
+        yield ""
+
+    def post(self, event: Any) -> None:
+        """Takes an event as the loop would."""
+        if isinstance(event, events.GenerationAsked):
+            self._grant(event, "decode", "prefill")
+        elif isinstance(event, events.CallAsked):
+            self._grant(event, f"server-{event.attempt}")
+        elif isinstance(event, events.ClaimAsked):
+            self.claims.append(event)
+            until = self._clock() + CLAIM_S
+            self.box.put(claims.Claimed(event.request_id, until))
+        elif isinstance(event, events.ClaimEnded):
+            self.outcomes.append(event.outcome)
+        elif isinstance(event, events.RequestEnded):
+            self.ended.append(event)
+
+    def _grant(self, event: Any, replica: str, prefill: str = "") -> None:
+        self.excluded.append(event.excluded)
+        self.box.put(
+            messages.Grant(
+                sender="owner",
+                epoch=1,
+                request_id=event.request_id,
+                attempt=event.attempt,
+                grant_id=1,
+                replica=replica,
+                prefill=prefill,
+            )
+        )
