Take no caller for gone by the event of one before it

Cause: one thread waits for the epoll events of all callers' connections and then looks up the mailbox by the connection's number. The kernel gives the number of a closed connection to the next one. Where the thread came late, the request of the new caller was stopped as if its caller had left, and its connection was cut without an answer, or in the middle of a stream.

Ruled out: the stop of a host (it stays for 0.7 of its grace), the time limit of idle connections (15 s), an answer lost by the listener (see below).

Change: the thread looks at the connection itself before it stops a request.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/callers_socket.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/callers_socket.py
@@ -23,6 +23,7 @@
 
     The kernel reports a connection that its peer closed, or that the
     keep-alive probes found dead, so no worker has to look at it in between.
+    Numbers of connections are used again at once.
     """
 
     def __init__(self):
@@ -50,11 +51,22 @@
     def _run(self) -> None:
         while True:
             for number, _ in self._epoll.poll():
+                # The event may be that of a connection which was closed since,
+                # whose number the next one has. The mailbox is looked up
+                # before the connection is looked at, so that at worst one is
+                # stopped whose request has ended.
                 box = self._boxes.get(number)
-                if box is not None:
+                if box is not None and _has_left(number):
                     box.stop(outcomes.Reason.CALLER_GONE)
 
 
+def _has_left(number: int) -> bool:
+    """Returns whether the connection with this number is closed or dead."""
+    poll = select.poll()
+    poll.register(number, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def set_up(sock: socket.socket) -> None:
     """Bounds how long a silent or a slow peer is waited for.
 
--- a/packages/hemlockreel-daemon/tests/test_callers_socket.py
+++ b/packages/hemlockreel-daemon/tests/test_callers_socket.py
@@ -1,4 +1,6 @@
+import os
 import socket
+import threading
 import time
 
 import pytest
@@ -52,6 +54,61 @@
     assert watched[1].get(QUIET_S) is None
 
 
+class LateEpoll:
+    """An epoll whose next events are handed on after ``act`` was called."""
+
+    def __init__(self, epoll, act):
+        self._epoll = epoll
+        self._act = act
+
+    def poll(self):
+        """Waits for events, and lets time pass before it returns them."""
+        found = self._epoll.poll()
+        self._act()
+        return found
+
+    def register(self, *arguments):
+        """Does what epoll does."""
+        self._epoll.register(*arguments)
+
+    def unregister(self, number):
+        """Does what epoll does."""
+        self._epoll.unregister(number)
+
+
+def test_next_caller_with_the_same_number_is_not_gone(pair):
+    """The kernel gives the number of a closed connection to the next one."""
+    watcher = callers_socket.Watcher()
+    first, second = mailbox.Mailbox(), mailbox.Mailbox()
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        theirs = socket.create_connection(listener.getsockname())
+        ours, _ = listener.accept()
+    number = ours.fileno()
+    watcher.watch(ours, first)
+    late = threading.Event()
+
+    def replace():
+        """Ends the first request and begins one on the other connection."""
+        if late.is_set():
+            return
+        watcher.forget(ours)
+        os.dup2(pair[0].fileno(), number)
+        watcher.watch(ours, second)
+        late.set()
+
+    watcher._epoll = LateEpoll(watcher._epoll, replace)
+    watcher.start()
+    theirs.close()
+    assert late.wait(5.0)
+    assert second.get(QUIET_S) is None
+    # It is still watched.
+    pair[1].close()
+    gone = mailbox.Stopped(outcomes.Reason.CALLER_GONE)
+    assert second.get(5.0) == gone
+    watcher.forget(ours)
+    ours.close()
+
+
 def test_stop_interrupts_a_blocked_call(pair):
     box = mailbox.Mailbox()
     watcher = callers_socket.Watcher()
