Try any mix of faults and pauses on the carrier of plain requests

Replicas refuse, are not reached, break off, err or stay silent by a drawn script, with pauses and callers that leave. Checked: a whole answer of a replica's own or a truthful refusal, a request that is not idempotent runs once, no replica is asked twice, the bound on attempts, no wait in the past, no place left behind.

--- /dev/null
+++ b/packages/hemlockreel-daemon/tests/forwarding/test_plain_any_order.py
@@ -0,0 +1,111 @@
+"""Pattern: any mix of faults and pauses around a plain request."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from hemlockreel import outcomes
+from hemlockreel_daemon import clock
+from hemlockreel_standins import forwarding_rig as rigs
+
+from hemlockreel.forwarding import deployments
+from hemlockreel.forwarding import ranking
+from hemlockreel_daemon.forwarding import edges
+
+SERVERS = ("a", "b", "c")
+SERVICE = rigs.SERVICE._replace(engine=None)
+DEADLINE_S = 1.0
+NOT_SENT = edges.Unanswered(edges.Ran.NOT_SENT, "connect")
+NOT_RUN = rigs.refused()
+UNKNOWN = edges.Unanswered(edges.Ran.UNKNOWN, "reset")
+SILENT = UNKNOWN._replace(silent=True)
+# A status stands for a whole answer.
+ANSWERS = strategies.sampled_from(
+    [200, 200, 404, 500, NOT_RUN, NOT_SENT, UNKNOWN, SILENT, "torn"]
+)
+PAUSES = strategies.sampled_from([0.0, 0.0, 0.1, 0.4, 2.0])
+
+
+@pytest.fixture(scope="module")
+def time():
+    patch = pytest.MonkeyPatch()
+    made = Clock()
+    patch.setattr(clock, "now", made.now)
+    yield made
+    patch.undo()
+
+
+class Clock:
+    """A clock on which pauses pass at once."""
+
+    def __init__(self):
+        self.at = 100.0
+
+    def now(self):
+        """Returns the time."""
+        return self.at
+
+
+@hypothesis.settings(max_examples=1500, deadline=None)
+@hypothesis.given(
+    answers=strategies.lists(ANSWERS, max_size=8),
+    pauses=strategies.lists(PAUSES, max_size=8),
+    kind=strategies.sampled_from(
+        [deployments.Kind.IDEMPOTENT, deployments.Kind.NON_IDEMPOTENT]
+    ),
+    attempts=strategies.integers(1, 4),
+    leaves_after=strategies.integers(0, 4),
+)
+def test_any_script(time, answers, pauses, kind, attempts, leaves_after):
+    rig = rigs.Rig(*map(rigs.server, SERVERS))
+    script, waits = iter(answers), iter(pauses)
+    arrived, ran, steps = [], [], 0
+
+    def send(instance, options, box):
+        nonlocal steps
+        steps += 1
+        time.at += next(waits, 0.0)
+        if steps == leaves_after:
+            box.stop(outcomes.Reason.CALLER_GONE)
+        found = next(script, 200)
+        if found is not NOT_SENT:
+            arrived.append(instance.id)
+        if isinstance(found, edges.Unanswered):
+            if found.ran is edges.Ran.UNKNOWN:
+                ran.append(instance.id)
+            return found
+        ran.append(instance.id)
+        if found == "torn":
+            return rigs.begun(b"par", ConnectionResetError())
+        return rigs.begun(b"done", status=found)
+
+    rig.backends.on_send = send
+    route = rigs.ROUTE._replace(
+        kind=kind,
+        generates=False,
+        timeout_s=DEADLINE_S,
+        objective_s=0.1,
+        max_attempts=attempts,
+    )
+    answer = rig.carry(route, SERVICE, None, deadline_s=DEADLINE_S)
+    assert answer.begun or answer.was_cut
+    if answer.status in (200, 404, 500):
+        # An answer is a replica's own, and whole.
+        assert answer.body == b"done"
+        assert answer.headers == (("X-Own", "1"),)
+        assert answer.status in answers or answer.status == 200
+    elif answer.status == 503:
+        assert not ran, "said not to have run"
+        assert float(dict(answer.headers)["Retry-After"]) >= 0
+    elif answer.status is not None:
+        assert answer.status in (502, 504)
+        assert ran
+    else:
+        assert rig.box.stopped is not None
+    if kind is deployments.Kind.NON_IDEMPOTENT:
+        assert len(ran) <= 1
+    assert len(arrived) <= attempts
+    # No replica is asked a second time.
+    assert len(set(arrived)) == len(arrived)
+    assert all(wait_s > 0 for _, wait_s in rig.backends.waits)
+    assert not rig.board.state(ranking.State).running
