Pass over a replica that reserves memory but runs nothing

All hosts had started again while one decode replica changed its stage by an order that none of them remembered. It goes on granting reservations and answers each request that it has not run it, until the change is done and listed, 9 s here. Its memory is free, so requests were sent there, three times each within 30 ms, and refused: 24 streams in 4 s. Only an answer that named the wrong stage or run was learned from.

Ruled out: a lapsed prompt (those requests had none, as no prefill replica was left), full memory (a reservation had been granted).

Change: a replica that has not run a request without a prompt to miss is passed over like one that is misplaced, by all hosts, for 2 s or until its entry changes.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
@@ -199,11 +199,14 @@
             fate.good = False
             self._record.prefilled = None
             self._note_sent(instance)
-        elif found.misplaced:
-            self.post(places.Misplaced(instance.id))
-        elif prefilled is not None:
+        elif prefilled is not None and not found.misplaced:
             fate.good = False
             self._note_lapsed(prefilled)
+        else:
+            # It had reserved memory and there was no prompt to miss, so it is
+            # changing its stage: until the list shows that, its memory looks
+            # free and draws requests that it refuses.
+            self.post(places.Misplaced(instance.id))
 
     def _note_arrival(self, instance: instances.Instance) -> None:
         self._record.arrivals += 1
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/reservation.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/reservation.py
@@ -54,7 +54,15 @@
         if isinstance(found, outcomes.Refused):
             return found
         tokens = job.ask.demand.prompt + found.reserve
-        for instance in _allowed(carrier, record.reached, found.instances):
+        allowed = _allowed(carrier, record.reached, found.instances)
+        if not allowed:
+            # Who comes back makes another attempt, which may go elsewhere.
+            return outcomes.not_run(
+                outcomes.Reason.BACKEND_REFUSED,
+                carrying.SOON_S,
+                "the replicas that this attempt may go to are not usable",
+            )
+        for instance in allowed:
             hold = _hold(carrier, instance, tokens)
             if hold is not None:
                 return Reserved(instance, hold, tokens)
--- a/packages/hemlockreel-daemon/tests/forwarding/test_generation_misplaced.py
+++ b/packages/hemlockreel-daemon/tests/forwarding/test_generation_misplaced.py
@@ -4,10 +4,13 @@
 read in vain unless the next replica takes the result.
 """
 
+import time as times
+
 from hemlockreel_daemon import clock
 from hemlockreel_standins import forwarding_rig as rigs
 
 from hemlockreel.forwarding import quality
+from hemlockreel_daemon.forwarding import carrying
 from hemlockreel_daemon.forwarding import edges
 from hemlockreel_daemon.forwarding import prompts
 
@@ -56,6 +59,58 @@
     assert asked.count("d1") <= 1
 
 
+def make_changing_rig(*prefills):
+    """Returns a rig whose replica d1 reserves memory but runs nothing."""
+    rig = rigs.Rig(
+        *prefills,
+        rigs.engine("d1", "decode"),
+        rigs.engine("d2", "decode"),
+    )
+
+    def send(instance, options, box):
+        if instance.id == "d1":
+            return rigs.refused()
+        return rigs.begun(b"id: 1\ndata: a\n\n")
+
+    rig.backends.on_send = send
+    return rig
+
+
+def test_replica_that_is_ordered_away_does_not_draw_all_requests():
+    """A host that was told nothing of the order learns it by one request.
+
+    Its memory is free and it has the least work, so all would go there.
+    """
+    for _ in range(20):
+        rig = make_changing_rig()
+        refused = [rig.carry(rigs.ROUTE).status == 503 for _ in range(10)]
+        assert sum(refused) <= 1
+
+
+def test_attempt_that_may_go_nowhere_else_is_refused_at_once(monkeypatch):
+    rig = make_changing_rig()
+    slept = []
+    monkeypatch.setattr(times, "sleep", slept.append)
+    refused = [
+        answer
+        for answer in (rig.carry(rigs.ROUTE) for _ in range(10))
+        if answer.status == 503
+    ]
+    assert not slept
+    for answer in refused:
+        assert dict(answer.headers)["Retry-After"] == str(carrying.SOON_S)
+
+
+def test_lapsed_prompt_is_ruled_out_before_the_replica_is_passed_over():
+    for _ in range(20):
+        rig = make_changing_rig(rigs.engine("p1", "prefill"))
+        refused = [rig.carry(rigs.ROUTE).status == 503 for _ in range(10)]
+        assert sum(refused) <= 1
+        asked = [name for name, _ in sources(rig)]
+        # Once with the prompt, and once without.
+        assert asked.count("d1") in (0, 2)
+
+
 def test_the_prefill_replica_is_not_blamed():
     rig = make_rig()
     for _ in range(20):
