Try any mix of faults of engines on the carrier of completions

Cause, change: as for streams and plain requests on the platform, now that completions have edges. Engines follow a drawn script: prompts lost, decodes refused, lost or evicted, tokens repeated, skipped, cut or of another attempt, cancels without an answer, an owner that refuses after some attempts. Checked: each token once and a truthful end, "not run" only if no byte was sent, an attempt that ends clean leaves nothing at its engines, one end for each attempt.

A first form blamed an attempt for what the one before had left; the rig grants other engines now to who leaves some out, as an owner does.

--- a/packages/hemlockreel-daemon/tests/test_generate.py
+++ b/packages/hemlockreel-daemon/tests/test_generate.py
@@ -129,7 +129,7 @@
     engines = Engines([lost], [tokens(attempt=2)])
     daemon, found = run(engines)
     assert found == WHOLE
-    assert daemon.excluded == [(), ("prefill",)]
+    assert daemon.excluded == [(), ("prefill-1",)]
     # What no byte reached holds nothing.
     assert bool(engines.cancelled) is lost.sent
 
@@ -156,7 +156,7 @@
     )
     daemon, found = run(engines)
     assert found == WHOLE
-    assert daemon.excluded == [(), ("decode",)]
+    assert daemon.excluded == [(), ("decode-1",)]
     assert daemon.ended[0].failed
 
 
@@ -179,7 +179,7 @@
     engines = Engines([lost], [tokens(attempt=2)])
     engines.cancels = False
     daemon, _ = run(engines)
-    assert set(daemon.excluded[1]) == {"prefill", "decode"}
+    assert set(daemon.excluded[1]) == {"prefill-1", "decode-1"}
 
 
 def test_refusal_after_a_lost_attempt_does_not_say_not_run():
--- /dev/null
+++ b/packages/hemlockreel-daemon/tests/test_generate_any_order.py
@@ -0,0 +1,158 @@
+"""Pattern: any mix of faults of engines around one completion.
+
+Engines follow a drawn script. Whatever it is, the caller gets each token once
+and a truthful end, and an attempt that says so leaves nothing at an engine.
+"""
+
+import types
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from hemlockreel import outcomes
+from hemlockreel_daemon import decoding
+from hemlockreel_daemon import edges
+from hemlockreel_daemon import generate
+from hemlockreel_daemon import http_calls
+from hemlockreel_daemon import tools as toolboxes
+from hemlockreel_standins import carrier_rig
+
+TEXT = ("one ", "two ", "three")
+JOB = generate.Job(
+    "r1", "m", "a prompt", "o", "interactive", 3, 5.0, 1, None, ""
+)
+CAUSES = strategies.sampled_from(list(edges.Cause))
+READS = strategies.sampled_from(
+    [
+        "read",
+        "read",
+        edges.NotPrefilled(False, "connect"),
+        edges.NotPrefilled(True, "reset"),
+        edges.NotPrefilled(True, "another request", misplaced=True),
+    ]
+)
+
+
+# How many tokens come, and what disturbs them before they end.
+STREAMS = strategies.tuples(
+    strategies.integers(0, 3),
+    strategies.sampled_from(["", "repeat", "skip", "other"]),
+)
+RUNS = strategies.one_of(STREAMS, STREAMS, CAUSES)
+
+
+class Engines:
+    """Engines that follow a script; ``held`` is what they keep.
+
+    Each item is an address and the attempt that it is kept for.
+    """
+
+    def __init__(self, reads, runs, cancels):
+        self._reads, self._runs = iter(reads), iter(runs)
+        self._cancels = iter(cancels)
+        self.held = set()
+        self.sent = False
+
+    def prefill(self, address, prompt, traceparent, timeout_s, box):
+        """Reads a prompt, or does not."""
+        found = next(self._reads, "read")
+        if found != "read" and not found.sent:
+            return found
+        self.sent = True
+        self.held.add((address, prompt.attempt))
+        if found != "read":
+            return found
+        return edges.Prefilled("handle", 2, 0)
+
+    def decode(self, address, asked, traceparent, timeout_s, box):
+        """Begins a stream, or does not."""
+        found = next(self._runs, (3, ""))
+        if isinstance(found, edges.Cause):
+            if found is edges.Cause.LOST:
+                self.held.add((address, asked.attempt))
+            elif found is edges.Cause.EVICTED:
+                self.held.discard((asked.source, asked.attempt))
+            return edges.NotDecoding(found, found.value)
+        self.held.add((address, asked.attempt))
+        link = types.SimpleNamespace(close=lambda: None)
+        self._stream = (asked, *found)
+        return http_calls.Opened(link, link, link)
+
+    def tokens(self, opened, silence_s, box):
+        """Yields the tokens of the stream that was opened last."""
+        asked, count, disturbance = self._stream
+        offsets = list(range(asked.offset, min(asked.offset + count, 3)))
+        if disturbance == "repeat":
+            offsets = [each for each in offsets for _ in range(2)]
+        elif disturbance == "skip":
+            offsets = offsets[1:]
+        for offset in offsets:
+            attempt = asked.attempt + (disturbance == "other")
+            done = offset == 2
+            if done and disturbance != "other":
+                # The engine and the one that had read the prompt are done.
+                self.held -= {each for each in self.held if each[1] == attempt}
+            yield edges.Token("r1", attempt, offset, TEXT[offset], done)
+
+    def cancel(self, address, request_id, timeout_s):
+        """Frees what is held, or does not answer."""
+        if not next(self._cancels, True):
+            return False
+        self.held -= {each for each in self.held if each[0] == address}
+        return True
+
+
+@pytest.fixture(scope="module")
+def no_pauses():
+    patch = pytest.MonkeyPatch()
+    patch.setattr(decoding, "FULL_PAUSE_S", 0.0)
+    patch.setattr(decoding, "FULL_WAIT_S", 0.0)
+    patch.setattr(decoding, "RESUME_PAUSE_S", 0.0)
+    yield
+    patch.undo()
+
+
+@hypothesis.settings(max_examples=1500, deadline=None)
+@hypothesis.given(
+    reads=strategies.lists(READS, max_size=4),
+    runs=strategies.lists(RUNS, max_size=12),
+    cancels=strategies.lists(strategies.booleans(), max_size=6),
+    grants=strategies.integers(0, 3),
+)
+def test_any_script(no_pauses, reads, runs, cancels, grants):
+    daemon = carrier_rig.Daemon()
+    daemon.grants = grants
+    engines = Engines(reads, runs, cancels)
+    ends = []
+    post = daemon.post
+
+    def note(event):
+        post(event)
+        if len(daemon.ended) > len(ends):
+            ends.append((daemon.ended[-1], frozenset(engines.held)))
+
+    daemon.post = note
+    tools = toolboxes.Tools(daemon, engines, None)
+    parts = [
+        part
+        for part in generate.run(tools, JOB)
+        if not isinstance(part, generate.Hop)
+    ]
+    *pieces, end = parts
+    assert all(isinstance(piece, str) for piece in pieces)
+    text = "".join(pieces)
+    assert "".join(TEXT).startswith(text)
+    if isinstance(end, decoding.Finished):
+        assert text == "".join(TEXT)
+        assert end.output_tokens == 3
+    else:
+        assert isinstance(end, outcomes.Refused)
+        if end.ran is outcomes.Ran.NOT_RUN:
+            assert not engines.sent
+            assert not text
+    assert [each.attempt for each, _ in ends] == list(range(1, len(ends) + 1))
+    assert len(ends) <= generate.MAX_ATTEMPTS
+    for each, held in ends:
+        left = {address for address, number in held if number == each.attempt}
+        assert not (each.clean and left), "said to have left nothing"
--- a/standins/hemlockreel_standins/carrier_rig.py
+++ b/standins/hemlockreel_standins/carrier_rig.py
@@ -2,12 +2,15 @@
 
 from collections.abc import Iterator
 import contextlib
+import itertools
+import math
 import types
 from typing import Any
 
 from hemlockreel import claims
 from hemlockreel import events
 from hemlockreel import messages
+from hemlockreel import outcomes
 from hemlockreel_daemon import mailbox
 from hemlockreel_daemon import metrics
 
@@ -17,10 +20,13 @@
 class Daemon:
     """A daemon whose loop grants each attempt and each claim at once.
 
+    There are backend servers without end: ``decode-1``, ``decode-2`` and so
+    on, the same for ``prefill`` and ``server``.
+
     ``excluded`` are the replicas that each attempt leaves out, ``ended`` the
     attempts that ended, ``claims`` the claims that were asked for and
     ``outcomes`` what was recorded of them. ``clock`` is the time at which a
-    claim is given.
+    claim is given. Beyond ``grants`` attempts it refuses.
     """
 
     def __init__(self, clock: Any = None):
@@ -33,6 +39,7 @@
         self.ended: list[events.RequestEnded] = []
         self.claims: list[events.ClaimAsked] = []
         self.outcomes: list[Any] = []
+        self.grants = math.inf
         self._clock = clock
 
     @contextlib.contextmanager
@@ -48,9 +55,9 @@
     def post(self, event: Any) -> None:
         """Takes an event as the loop would."""
         if isinstance(event, events.GenerationAsked):
-            self._grant(event, "decode", "prefill")
+            self._grant(event, _pick("decode", event), _pick("prefill", event))
         elif isinstance(event, events.CallAsked):
-            self._grant(event, f"server-{event.attempt}")
+            self._grant(event, _pick("server", event))
         elif isinstance(event, events.ClaimAsked):
             self.claims.append(event)
             until = self._clock() + CLAIM_S
@@ -62,6 +69,9 @@
 
     def _grant(self, event: Any, replica: str, prefill: str = "") -> None:
         self.excluded.append(event.excluded)
+        if len(self.excluded) > self.grants:
+            self.box.put(outcomes.not_run(outcomes.Reason.OVERLOADED, 1.0))
+            return
         self.box.put(
             messages.Grant(
                 sender="owner",
@@ -73,3 +83,9 @@
                 prefill=prefill,
             )
         )
+
+
+def _pick(kind: str, event: Any) -> str:
+    """Returns the first backend server of ``kind`` that is not left out."""
+    names = (f"{kind}-{number}" for number in itertools.count(1))
+    return next(name for name in names if name not in event.excluded)
