--- a/packages/hemlockreel/tests/test_ownership_pauses.py
+++ b/packages/hemlockreel/tests/test_ownership_pauses.py
@@ -17,32 +17,49 @@
     return fleet_fabric.Fleet(seed=request.param)
 
 
-@pytest.mark.parametrize("freeze_s", [1.5, 3.0, 10.0])
-def test_owner_frozen_and_continued_cancels_no_stream(fleet, freeze_s):
+def freeze_owner(fleet):
+    """Begins a stream and lets its owner stand still.
+
+    Returns the owner and the entry.
+    """
     owner, entry = fleet.roles(SHARD)
     fleet.ask(entry, "r1")
     fleet.fabric.frozen.add(owner)
+    return owner, entry
+
+
+def freeze_and_cut(fleet):
+    """Does :func:`freeze_owner` and cuts the entry off from the owner."""
+    owner, entry = freeze_owner(fleet)
+    fleet.fabric.run(1.0)
+    fleet.fabric.cut({entry}, {owner})
+    return owner, entry
+
+
+def assert_runs_on(fleet):
+    """Checks that the stream has a holder and nothing was cancelled."""
+    assert fleet.holders("r1")
+    assert fleet.cancelled == []
+
+
+@pytest.mark.parametrize("freeze_s", [1.5, 3.0, 10.0])
+def test_owner_frozen_and_continued_cancels_no_stream(fleet, freeze_s):
+    freeze_owner(fleet)
     fleet.fabric.run(freeze_s)
     fleet.fabric.frozen.clear()
     fleet.fabric.run(20.0)
-    assert fleet.holders("r1")
-    assert fleet.cancelled == []
+    assert_runs_on(fleet)
     holding = [fleet.granted_by(at) for at in fleet.fabric.boards]
     assert sum(holding) == 1
 
 
 def test_owner_frozen_and_word_of_the_move_lost_cancels_no_stream(fleet):
-    owner, entry = fleet.roles(SHARD)
-    fleet.ask(entry, "r1")
-    fleet.fabric.frozen.add(owner)
-    fleet.fabric.run(1.0)
-    fleet.fabric.cut({entry}, {owner})
+    freeze_and_cut(fleet)
     fleet.fabric.run(5.0)
     fleet.fabric.frozen.clear()
     fleet.fabric.cuts.clear()
     fleet.fabric.run(20.0)
-    assert fleet.holders("r1")
-    assert fleet.cancelled == []
+    assert_runs_on(fleet)
 
 
 @pytest.mark.parametrize("late_s", [0.4, 0.7, 1.1, 2.0])
@@ -51,26 +68,19 @@
     fleet, freeze_s, late_s
 ):
     """The connections to a host that stood still are dialled anew."""
-    owner, entry = fleet.roles(SHARD)
-    fleet.ask(entry, "r1")
-    fleet.fabric.frozen.add(owner)
-    fleet.fabric.run(1.0)
-    fleet.fabric.cut({entry}, {owner})
+    freeze_and_cut(fleet)
     fleet.fabric.run(freeze_s - 1.0)
     fleet.fabric.frozen.clear()
     fleet.fabric.run(late_s)
     fleet.fabric.cuts.clear()
     fleet.fabric.run(20.0)
-    assert fleet.holders("r1")
-    assert fleet.cancelled == []
+    assert_runs_on(fleet)
     holding = [fleet.granted_by(at) for at in fleet.fabric.boards]
     assert sum(holding) == 1
 
 
 def test_owner_continued_after_its_entry_died_frees_the_memory(fleet):
-    owner, entry = fleet.roles(SHARD)
-    fleet.ask(entry, "r1")
-    fleet.fabric.frozen.add(owner)
+    _, entry = freeze_owner(fleet)
     fleet.fabric.run(1.0)
     fleet.fabric.kill(entry)
     fleet.fabric.run(1.5)
@@ -89,11 +99,7 @@
 
 def test_word_of_a_move_that_comes_after_the_grant_is_back(fleet):
     """Two connections to a host that stood still keep no common order."""
-    owner, entry = fleet.roles(SHARD)
-    fleet.ask(entry, "r1")
-    fleet.fabric.frozen.add(owner)
-    fleet.fabric.run(1.0)
-    fleet.fabric.cut({entry}, {owner})
+    owner, entry = freeze_and_cut(fleet)
     fleet.fabric.run(5.0)
     fleet.fabric.frozen.clear()
     fleet.fabric.cuts.clear()
@@ -102,8 +108,7 @@
     (late,) = moved_away(fleet, entry, owner)
     fleet.fabric.post(owner, late)
     fleet.fabric.run(15.0)
-    assert fleet.holders("r1")
-    assert fleet.cancelled == []
+    assert_runs_on(fleet)
     assert fleet.granted_by(owner) == 1
 
 
@@ -121,8 +126,7 @@
     )
     fleet.fabric.post(owner, listed)
     fleet.fabric.run(15.0)
-    assert fleet.holders("r1")
-    assert fleet.cancelled == []
+    assert_runs_on(fleet)
 
 
 def test_entry_frozen_past_its_lease_loses_its_grant_for_good(fleet):
@@ -163,8 +167,7 @@
     fleet.fabric.run(3.0)
     fleet.fabric.frozen.clear()
     fleet.fabric.run(10.0)
-    assert fleet.holders("r1")
-    assert fleet.cancelled == []
+    assert_runs_on(fleet)
 
 
 def test_request_started_after_its_grant_was_revoked_is_cancelled(fleet):
