Take no answer of an engine for a confirmed cancel but a clear one

Cause: read while the edges were reread. An answer to a cancel that is JSON but no object, such as a list, raised in the worker, and the caller got an internal error. Nothing tested what the client makes of answers that are not what the protocol says.

Change: such an answer confirms nothing.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/calls.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/calls.py
@@ -233,7 +233,7 @@
                 outcomes.Reason.BACKEND_FAILED, RETRY_AFTER_S, found.detail
             )
         reason = outcomes.Reason.BACKEND_FAILED
-        if found.misplaced:
+        if found.mismatched:
             self._daemon.metrics.count("wrong_answers")
         elif self._box.stopped is not None:
             reason = self._box.stopped.reason
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/edges.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/edges.py
@@ -35,13 +35,13 @@
 class NotPrefilled(NamedTuple):
     """A prompt that was not read.
 
-    ``sent`` tells whether any byte may have reached the engine, ``misplaced``
+    ``sent`` tells whether any byte may have reached the engine, ``mismatched``
     that it answered another request.
     """
 
     sent: bool
     detail: str
-    misplaced: bool = False
+    mismatched: bool = False
 
 
 class Continuation(NamedTuple):
@@ -145,13 +145,13 @@
     """A sending without an answer of its own.
 
     ``sent`` tells whether any byte may have arrived, ``silent`` that the time
-    passed without an answer, ``misplaced`` that another request was answered.
+    passed without an answer, ``mismatched`` that another request was answered.
     """
 
     sent: bool
     detail: str
     silent: bool = False
-    misplaced: bool = False
+    mismatched: bool = False
 
 
 class Services(Protocol):
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/engine_client.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/engine_client.py
@@ -168,7 +168,8 @@
         )
         if isinstance(answer, http_calls.Failed) or answer[0] != OK:
             return False
-        return answer[1].get("held") is False
+        found = answer[1]
+        return isinstance(found, dict) and found.get("held") is False
 
 
 def _decode_prefilled(
@@ -183,7 +184,7 @@
         prompt.attempt,
     ):
         detail = "the engine answered another request"
-        return edges.NotPrefilled(True, detail, misplaced=True)
+        return edges.NotPrefilled(True, detail, mismatched=True)
     return edges.Prefilled(
         found.handle, found.prompt_tokens, found.cached_tokens
     )
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/generate.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/generate.py
@@ -201,7 +201,7 @@
     def _note_failed(
         self, grant: messages.Grant, answer: edges.NotPrefilled
     ) -> None:
-        if answer.misplaced:
+        if answer.mismatched:
             self._daemon.metrics.count("wrong_answers")
         fields = {
             "request_id": self._job.request_id,
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/service_client.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/service_client.py
@@ -75,7 +75,7 @@
         return edges.Unanswered(
             True,
             "the backend server answered another request",
-            misplaced=True,
+            mismatched=True,
         )
     return outcomes.Answered(
         response.status, _decode_headers(response, call), body
--- a/packages/hemlockreel-daemon/tests/test_calls.py
+++ b/packages/hemlockreel-daemon/tests/test_calls.py
@@ -16,7 +16,7 @@
 UNSENT = edges.Unanswered(False, "connect")
 LOST = edges.Unanswered(True, "reset")
 SILENT = edges.Unanswered(True, "time-out", silent=True)
-MISPLACED = edges.Unanswered(True, "another request", misplaced=True)
+MISMATCHED = edges.Unanswered(True, "another request", mismatched=True)
 JOB = calls.Job(
     "r1",
     objects.Route(service="s", prefix="/"),
@@ -71,7 +71,7 @@
     assert not daemon.ended[0].failed
 
 
-@pytest.mark.parametrize("lost", [UNSENT, LOST, MISPLACED])
+@pytest.mark.parametrize("lost", [UNSENT, LOST, MISMATCHED])
 def test_idempotent_call_is_sent_to_another_server(lost):
     daemon, services, found = run(JOB, lost, ANSWER)
     assert found.outcome == ANSWER
@@ -89,7 +89,7 @@
     assert len(services.seen) == 1
 
 
-@pytest.mark.parametrize("lost", [LOST, SILENT, MISPLACED])
+@pytest.mark.parametrize("lost", [LOST, SILENT, MISMATCHED])
 def test_booking_that_may_have_run_is_sent_once(lost):
     daemon, services, found = run(BOOKING, lost)
     assert len(services.seen) == 1
@@ -132,7 +132,7 @@
 
 
 def test_answer_to_another_request_is_counted():
-    daemon, _, _ = run(JOB, MISPLACED, ANSWER)
+    daemon, _, _ = run(JOB, MISMATCHED, ANSWER)
     counted = daemon.metrics.registry.get_sample_value(
         "hemlockreel_wrong_answers_total"
     )
--- a/packages/hemlockreel-daemon/tests/test_generate.py
+++ b/packages/hemlockreel-daemon/tests/test_generate.py
@@ -122,7 +122,7 @@
     [
         edges.NotPrefilled(False, "connect"),
         edges.NotPrefilled(True, "the engine answered 500"),
-        edges.NotPrefilled(True, "another request", misplaced=True),
+        edges.NotPrefilled(True, "another request", mismatched=True),
     ],
 )
 def test_prompt_that_was_not_read_is_read_elsewhere(lost):
--- a/packages/hemlockreel-daemon/tests/test_generate_any_order.py
+++ b/packages/hemlockreel-daemon/tests/test_generate_any_order.py
@@ -29,7 +29,7 @@
         "read",
         edges.NotPrefilled(False, "connect"),
         edges.NotPrefilled(True, "reset"),
-        edges.NotPrefilled(True, "another request", misplaced=True),
+        edges.NotPrefilled(True, "another request", mismatched=True),
     ]
 )
 
