Log a stream of tokens that ends in an error with its request

The client of engines logged the error without knowing whose stream it was, so that nobody could get from a request's id to the line.

Change: the edge yields why the stream ended, and the carrier logs it with the request's id, attempt, replica and the number of tokens that had come.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/decoding.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/decoding.py
@@ -10,6 +10,7 @@
 
 from . import edges
 from . import http_calls
+from . import logs
 from . import mailbox
 from . import tools as toolboxes
 
@@ -101,6 +102,9 @@
             return opened
         try:
             for token in self._engines.tokens(opened, SILENCE_S, self._box):
+                if isinstance(token, edges.Cut):
+                    self._log_cut(token.detail)
+                    return None
                 if not self._is_mine(token):
                     continue
                 if token.offset > self.output_tokens:
@@ -172,6 +176,16 @@
             reason = outcomes.Reason.BACKEND_FAILED
         return outcomes.unknown(reason, found.detail)
 
+    def _log_cut(self, detail: str) -> None:
+        fields = {
+            "request_id": self._grant.request_id,
+            "attempt": self._asked.attempt,
+            "replica": self._grant.replica,
+            "tokens": self.output_tokens,
+            "detail": detail,
+        }
+        logs.write("decode_cut", fields)
+
     def _is_mine(self, token: edges.Token) -> bool:
         mine = (token.request_id, token.attempt) == (
             self._asked.request_id,
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/edges.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/edges.py
@@ -70,6 +70,12 @@
     done: bool
 
 
+class Cut(NamedTuple):
+    """The end of a stream in an error; a stream may also just end early."""
+
+    detail: str
+
+
 class Cause(enum.Enum):
     """Why a decode gave no stream of tokens."""
 
@@ -118,8 +124,8 @@
         opened: http_calls.Opened,
         silence_s: float,
         box: mailbox.Mailbox,
-    ) -> Iterator[Token]:
-        """Yields the tokens of a stream, and ends early when it is cut.
+    ) -> Iterator[Token | Cut]:
+        """Yields the tokens of a stream, and why it ended early.
 
         ``silence_s`` is the longest wait for the next bytes.
         """
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/engine_client.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/engine_client.py
@@ -11,7 +11,6 @@
 from . import clock
 from . import edges
 from . import http_calls
-from . import logs
 from . import mailbox
 
 CONTROL_PATHS = {
@@ -137,8 +136,8 @@
         opened: http_calls.Opened,
         silence_s: float,
         box: mailbox.Mailbox,
-    ) -> Iterator[edges.Token]:
-        """Yields the tokens of a stream, and ends early when it is cut.
+    ) -> Iterator[edges.Token | edges.Cut]:
+        """Yields the tokens of a stream, and why it ended early.
 
         A line that is no token ends the stream too.
         """
@@ -154,8 +153,7 @@
                         found = _decoder.decode(line)
                         yield edges.Token(*msgspec.structs.astuple(found))
         except (*http_calls.FAILURES, msgspec.MsgspecError) as error:
-            fields = {"detail": f"{type(error).__name__}: {error}"}
-            logs.write("tokens_cut", fields)
+            yield edges.Cut(f"{type(error).__name__}: {error}")
 
     def cancel(self, address: str, request_id: str, timeout_s: float) -> bool:
         """Cancels a request; true if the engine holds nothing of it."""
--- a/packages/hemlockreel-daemon/tests/test_generate.py
+++ b/packages/hemlockreel-daemon/tests/test_generate.py
@@ -9,6 +9,7 @@
 from hemlockreel_daemon import edges
 from hemlockreel_daemon import generate
 from hemlockreel_daemon import http_calls
+from hemlockreel_daemon import logs
 from hemlockreel_daemon import tools as toolboxes
 from hemlockreel_standins import carrier_rig
 
@@ -101,6 +102,20 @@
     assert engines.offsets == [0, 1]
 
 
+def test_stream_that_ends_in_an_error_goes_on(monkeypatch):
+    lines = []
+    monkeypatch.setattr(logs, "write", lambda *line: lines.append(line))
+    cut = [*tokens(last=2), edges.Cut("reset")]
+    engines = Engines(decodes=[cut, tokens(first=2)])
+    _, found = run(engines)
+    assert found == WHOLE
+    assert engines.offsets == [0, 2]
+    ((name, fields),) = lines
+    assert name == "decode_cut"
+    assert fields["request_id"] == "r1"
+    assert (fields["tokens"], fields["detail"]) == (2, "reset")
+
+
 def test_missing_token_is_fetched_again():
     engines = Engines(decodes=[tokens()[::2], tokens(first=1)])
     _, found = run(engines)
