--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
@@ -203,9 +203,10 @@
             fate.good = False
             self._note_lapsed(prefilled)
         else:
-            # It had reserved memory and there was no prompt to miss, so it is
-            # changing its stage: until the list shows that, its memory looks
-            # free and draws requests that it refuses.
+            # It says that it is not what the list shows, or it had reserved
+            # memory and had no prompt to miss, so that it is changing its
+            # stage. Until the list shows that, its memory looks free and
+            # draws requests that it refuses.
             self.post(places.Misplaced(instance.id))
 
     def _note_arrival(self, instance: instances.Instance) -> None:
