--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/starting.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/starting.py
@@ -14,7 +14,9 @@
 # after 0.8 to 1.7 s (docs/incidents/inc-4825.md); a store that has not
 # answered by then is most likely away.
 FIRST_READ_S = 2.5
-WAIT_SHARE = 0.5  # of the caller's time; the rest is for serving the request
+# Of the caller's time; the rest is for serving the request. Worth with other
+# shares stands in docs/incidents/inc-0640.md.
+WAIT_SHARE = 0.5
 LOOK_PERIOD_S = 0.02
 
 
