Heed replicas that state that they leave or ask for a pause

Cause: neither the header Server-Leaving nor Retry-After on a replica's 503 was known to the code. A host went on sending to a leaving replica until the list showed it, and a decode that was turned away with a pause was taken for a change of stage and excluded the replica at all hosts.

Change: the adapter passes what a response says of its replica to an observer, for sends, prefills, reservations, releases and the core's calls. A run that says it leaves gets nothing more at once, whatever the list shows, until the replica is another run; the first host that learns it tells the others. A pause holds for this host and replica and all kinds of calls, also releases and orders.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
@@ -17,6 +17,7 @@
 from hemlockreel.forwarding import deployments
 from hemlockreel.forwarding import graceful_shutdown
 from hemlockreel.forwarding import instances
+from hemlockreel.forwarding import replica_pauses
 from hemlockreel.forwarding import replica_selection
 from hemlockreel.forwarding import retry_budget
 from hemlockreel.forwarding import store_fanout
@@ -86,6 +87,7 @@
         board.state(graceful_shutdown.State).grace_s = limits.grace_s
         board.state(retry_budget.State).retry_limits = limits.retries
         board.state(store_era.State).is_first_start = limits.is_first_start
+        backends.set_observer(self._observe_replica)
         self._tools = request_handler.Tools(self.daemon, backends, callers)
         self._active = 0
         self._lock = threading.Lock()
@@ -128,6 +130,15 @@
             if self.phase.stopping:
                 loop.post(events.CallersCounted(self._active))
 
+    def _observe_replica(self, notice: interfaces.Notice) -> None:
+        id, born = notice.id, notice.born
+        if notice.leaving:
+            self.daemon.loop.post(instances.LeavingStated(id, born))
+        if notice.pause_s:
+            self.daemon.loop.post(
+                replica_pauses.PauseAsked(id, born, notice.pause_s)
+            )
+
     def find_addresses(self, zone: str) -> list[str]:
         """Returns the addresses for a caller in ``zone``."""
         return self.daemon.loop.query(
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
@@ -127,7 +127,7 @@
         try:
             return self._run_once(reserved, result)
         finally:
-            if not result.reservation_used:
+            if not result.reservation_used and self.may_call(instance):
                 self.tools.backends.release_reservation(
                     instance, reserved.reservation_id
                 )
@@ -211,6 +211,10 @@
             result.succeeded = False
             self._record.prefill_result = None
             self._note_sent(instance)
+        elif found.pause_s:
+            # The replica is overloaded, which says nothing about its list
+            # entry or the prefill result.
+            result.succeeded = None
         elif prefilled is not None and not found.instance_mismatch:
             result.succeeded = False
             self._note_lost_prefill_result(prefilled)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/interfaces.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/interfaces.py
@@ -4,6 +4,7 @@
 It makes no decisions and keeps no state of a request.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import enum
 from typing import NamedTuple
@@ -96,13 +97,28 @@
 
     ``timed_out`` is set if no byte was received in time,
     ``instance_mismatch`` if the replica has another stage or is another run
-    of the process than the list shows.
+    of the process than the list shows. ``pause_s`` is the time for which the
+    replica wants nothing from this host, 0 if it asked for none.
     """
 
     ran: Ran
     detail: str
     timed_out: bool = False
     instance_mismatch: bool = False
+    pause_s: float = 0.0
+
+
+class Notice(NamedTuple):
+    """What a replica's response says of the replica itself.
+
+    ``leaving`` is set if it ends soon, ``pause_s`` is as in
+    :class:`SendFailure`.
+    """
+
+    id: str
+    born: int
+    leaving: bool
+    pause_s: float
 
 
 class ResponseHead(NamedTuple):
@@ -132,6 +148,10 @@
 class Backends(Protocol):
     """Calls to the replicas."""
 
+    def set_observer(self, observe: Callable[[Notice], None]) -> None:
+        """Sets the function that gets the notices of all responses."""
+        ...
+
     def send(
         self,
         instance: instances.Instance,
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/plain_requests.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/plain_requests.py
@@ -18,6 +18,9 @@
 # Of the time left, for an attempt that another one may follow.
 FIRST_ATTEMPT_SHARE = 0.6
 MIN_ATTEMPT_S = 0.02
+# Of the latency objective: how long a request waits for the end of a pause
+# that all replicas have asked for.
+MAX_WAIT_SHARE = 0.5
 SERVER_ERROR = 500
 
 
@@ -47,6 +50,7 @@
     def _attempt_all(self) -> Response | outcomes.Refused:
         """Makes attempts until one succeeds or no other is allowed."""
         last: Response | outcomes.Refused | None = None
+        until = self.job.arrived + MAX_WAIT_SHARE * self.job.route.objective_s
         while self.left_s() > MIN_ATTEMPT_S and self.box.stopped is None:
             found = self.find_candidates(
                 instances.Stage.PLAIN,
@@ -54,6 +58,8 @@
                 is_retry=self.sent > 0,
             )
             if isinstance(found, outcomes.Refused):
+                if last is None and self.wait_for_paused(found, until):
+                    continue
                 return last or found
             for instance in found.instances:
                 result = self._attempt(instance)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/remote_prefill.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/remote_prefill.py
@@ -100,7 +100,8 @@
 ) -> None:
     """Frees a prefill result that will not be used."""
     if record.prefill_result is not None:
-        handler.tools.backends.free_prefill_result(
-            record.prefill_instance, record.prefill_result.handle
-        )
+        if handler.may_call(record.prefill_instance):
+            handler.tools.backends.free_prefill_result(
+                record.prefill_instance, record.prefill_result.handle
+            )
         record.prefill_result = None
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
@@ -4,6 +4,7 @@
 the replies in its mailbox.
 """
 
+import time
 from typing import Any
 from typing import NamedTuple
 
@@ -155,6 +156,34 @@
         self.post(replica_selection.UsabilityRequested(self._key, instance.id))
         return self.box.get(LOOP_TIMEOUT_S) is True
 
+    def wait_for_paused(self, refused: outcomes.Refused, until: float) -> bool:
+        """Waits until a replica that asked for a pause may be called again.
+
+        Returns false, without a wait, if that is later than ``until`` or if
+        ``refused`` has another reason.
+        """
+        wait_s = refused.retry_after_s
+        if (
+            refused.reason is not outcomes.Reason.BACKEND_PAUSED
+            or clock.now() + wait_s > until
+        ):
+            return False
+        self.log("waits_for_paused", for_ms=round(wait_s * 1000))
+        time.sleep(wait_s)
+        return self.box.stopped is None
+
+    def may_call(self, instance: instances.Instance) -> bool:
+        """Returns whether a replica may get calls that free what it holds.
+
+        One that has stated that it leaves and one that asked for a pause get
+        none: what they hold for this request expires soon.
+        """
+        return self.tools.daemon.loop.query(
+            lambda board: replica_selection.may_call(
+                board, instance, clock.now()
+            )
+        )
+
     def take_retry(self) -> bool:
         """Takes one retry from the budget; false if it is used up."""
         self.post(
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/reservation.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/reservation.py
@@ -52,6 +52,8 @@
             tuple(handler.tried),
         )
         if isinstance(found, outcomes.Refused):
+            if handler.wait_for_paused(found, until):
+                continue
             return found
         tokens = job.request.demand.prompt + found.reserve_tokens
         eligible = _eligible(handler, record.reached_ids, found.instances)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/metrics.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/metrics.py
@@ -15,6 +15,8 @@
     "store_news_missed": ("Changes from a host that had read more.", ()),
     "store_news_outdated": ("Reads from before a restore of the store.", ()),
     "store_restores": ("Restores of the store from an older copy.", ()),
+    "leaving_replicas": ("Replicas that told this host that they leave.", ()),
+    "replica_pauses": ("Pauses that replicas asked of this host.", ()),
     "late_moves": ("News of moves that a later one had undone.", ()),
     "orders": ("Orders sent to engines.", ("order",)),
     "order_failures": ("Orders without success.", ("reason",)),
--- a/packages/hemlockreel-daemon/tests/forwarding/test_startup_wait.py
+++ b/packages/hemlockreel-daemon/tests/forwarding/test_startup_wait.py
@@ -74,7 +74,7 @@
             found,
             forwarder.Limits(8.0, limits),
             daemons.ExternalClients(None, None, None),
-            None,
+            rigs.Backends(),
             Callers(deadline_s),
             None,
         )
--- a/packages/hemlockreel/hemlockreel/actions.py
+++ b/packages/hemlockreel/hemlockreel/actions.py
@@ -65,7 +65,8 @@
     ``operation`` is ``load``, ``cancel``, ``requests``, ``cache/events`` or
     ``orders``. A call with a ``body`` is a POST. After ``not_after``, on the
     core's clock, the call is dropped. ``instance`` identifies the run of the
-    engine that the call is for, where engines can check it.
+    engine that the call is for, where engines can check it, and ``born`` the
+    start of that run.
     """
 
     call_id: str
@@ -76,6 +77,7 @@
     timeout_s: float = 1.0
     not_after: float | None = None
     instance: str = ""
+    born: int = 0
 
 
 class Count(NamedTuple):
--- a/packages/hemlockreel/hemlockreel/core.py
+++ b/packages/hemlockreel/hemlockreel/core.py
@@ -35,6 +35,7 @@
 from .forwarding import active_deployment
 from .forwarding import graceful_shutdown
 from .forwarding import instance_updates
+from .forwarding import replica_pauses
 from .forwarding import replica_selection
 from .forwarding import stage_assignment
 from .forwarding import store_fanout
@@ -74,6 +75,7 @@
     active_deployment,
     instance_updates,
     store_fanout,
+    replica_pauses,
     replica_selection,
     leader,
     stage_assignment,
--- a/packages/hemlockreel/hemlockreel/forwarding/instance_updates.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/instance_updates.py
@@ -11,6 +11,7 @@
 from .. import actions
 from .. import board as boards
 from .. import events
+from .. import membership
 from .. import messages
 from . import instances
 from . import prefill_times
@@ -66,6 +67,35 @@
     yield actions.Log("replica_changing", fields)
 
 
+@handle.register
+def _leaving_stated(
+    event: instances.LeavingStated, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    """Stops using a replica that says it leaves, and tells the other hosts.
+
+    Its running requests end undisturbed.
+    """
+    state = board.state(instances.State)
+    if not instances.mark_leaving(state, event.id, event.born, now):
+        return
+    yield actions.Count("leaving_replicas")
+    yield actions.Log("replica_leaving", {"replica": event.id})
+    leaving = messages.ReplicaLeaving(
+        **board.sender_fields, replica=event.id, born=event.born
+    )
+    yield from membership.broadcast(board, leaving)
+
+
+@handle.register
+def _replica_leaving(
+    event: messages.ReplicaLeaving, board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    state = board.state(instances.State)
+    if instances.mark_leaving(state, event.replica, event.born, now):
+        fields = {"replica": event.replica, "told_by": event.sender}
+        yield actions.Log("replica_leaving", fields)
+
+
 @handle.register
 def _store_unavailable(
     event: instances.StoreUnavailable, board: boards.Board, now: float
--- a/packages/hemlockreel/hemlockreel/forwarding/instances.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/instances.py
@@ -72,6 +72,13 @@
     is_restored: bool = False
 
 
+class LeavingStated(NamedTuple):
+    """The run ``born`` of the replica ``id`` has stated that it leaves."""
+
+    id: str
+    born: int
+
+
 class StoreUnavailable(NamedTuple):
     """The store doesn't respond, so the known list may be outdated."""
 
@@ -150,6 +157,14 @@
     return gone
 
 
+def has_said_so(state: State, instance: Instance) -> bool:
+    """Returns whether this run of a replica has stated that it leaves."""
+    known = state.departed.get(instance.id)
+    return (
+        known is not None and known.has_said_so and known.born == instance.born
+    )
+
+
 def mark_leaving(state: State, id: str, born: int, now: float) -> bool:
     """Records that a run of a replica says that it leaves.
 
@@ -157,7 +172,7 @@
     whatever the list shows.
     """
     known = state.departed.get(id)
-    if known is not None and known.has_said_so and known.born == born:
+    if known is not None and known.has_said_so and known.born >= born:
         return False
     state.departed[id] = departures.Departure(born, now, has_said_so=True)
     found = state.instances.get(id)
--- a/packages/hemlockreel/hemlockreel/forwarding/ranking.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/ranking.py
@@ -10,6 +10,7 @@
 from . import instances
 from . import prefill_times
 from . import replica_health
+from . import replica_pauses
 
 # A replica in another availability zone costs a round trip between zones, so
 # it is used only if those in this host's zone are busier by this share of
@@ -64,6 +65,7 @@
         each
         for each in instances.usable(known, event.service, now, event.stage)
         if each.id not in event.exclude
+        and not replica_pauses.is_paused(board, each, now)
         and not (
             event.stage is instances.Stage.PREFILL
             and replica_health.loses_prefill_results(
--- a/packages/hemlockreel/hemlockreel/forwarding/replica_selection.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/replica_selection.py
@@ -20,6 +20,7 @@
 from . import prefill_times
 from . import ranking
 from . import replica_health
+from . import replica_pauses
 from . import retry_budget
 
 NO_BACKEND_RETRY_AFTER_S = 1.0
@@ -152,6 +153,14 @@
 ) -> Iterable[actions.Action]:
     found = ranking.rank(board, event, now)
     if not found:
+        wait_s = _wait_for_paused_s(board, event, now)
+        if wait_s is not None:
+            detail = "all replicas have asked this host for a pause"
+            refused = outcomes.not_run(
+                outcomes.Reason.BACKEND_PAUSED, wait_s, detail
+            )
+            yield actions.Reply(event.request_id, refused)
+            return
         reason = outcomes.Reason.NO_BACKEND
         refused = outcomes.not_run(reason, NO_BACKEND_RETRY_AFTER_S)
         yield actions.Reply(event.request_id, refused)
@@ -175,6 +184,15 @@
     yield actions.Reply(event.request_id, Candidates(tuple(found), reserve))
 
 
+def _wait_for_paused_s(
+    board: boards.Board, event: ranking.CandidatesRequested, now: float
+) -> float | None:
+    known = board.state(instances.State)
+    usable = instances.usable(known, event.service, now, event.stage)
+    paused = [each for each in usable if each.id not in event.exclude]
+    return replica_pauses.wait_s(board, paused, now)
+
+
 @handle.register
 def _retry_requested(
     event: RetryRequested, board: boards.Board, now: float
@@ -286,10 +304,26 @@
     return ()
 
 
+def may_call(
+    board: boards.Board, instance: instances.Instance, now: float
+) -> bool:
+    """Returns whether ``instance`` wants calls that free what it holds.
+
+    It wants none after it has stated that it leaves, or asked for a pause.
+    """
+    state = board.state(instances.State)
+    return not (
+        instances.has_said_so(state, instance)
+        or replica_pauses.is_paused(board, instance, now)
+    )
+
+
 @handle.register
 def _usability_requested(
     event: UsabilityRequested, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
     state = board.state(instances.State)
-    found = instances.is_usable(state, event.id, now)
+    found = instances.is_usable(state, event.id, now) and not (
+        replica_pauses.is_paused(board, state.instances[event.id], now)
+    )
     yield actions.Reply(event.request_id, found)
--- a/packages/hemlockreel/hemlockreel/forwarding/stage_assignment.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/stage_assignment.py
@@ -24,6 +24,7 @@
 from . import active_deployment
 from . import instances
 from . import ranking
+from . import replica_pauses
 
 CHECK_PERIOD_S = 0.5
 # Prefill takes a small part of the time of a request and none of the memory
@@ -47,6 +48,7 @@
     address: str
     stage: instances.Stage
     requested_at: float
+    born: int = 0
 
 
 class State:
@@ -118,6 +120,7 @@
         "load",
         timeout_s=CALL_TIMEOUT_S,
         instance=change.id,
+        born=change.born,
     )
 
 
@@ -164,9 +167,16 @@
         source, target = instances.Stage.PREFILL, instances.Stage.DECODE
         if present_prefill < wanted_prefill:
             source, target = target, source
-        if by_stage[source]:
-            chosen = _least_used(board, by_stage[source])
-            return StageChange(chosen.id, chosen.address, target, now)
+        callable_engines = [
+            each
+            for each in by_stage[source]
+            if not replica_pauses.is_paused(board, each, now)
+        ]
+        if callable_engines:
+            chosen = _least_used(board, callable_engines)
+            return StageChange(
+                chosen.id, chosen.address, target, now, chosen.born
+            )
     return None
 
 
@@ -215,7 +225,7 @@
         state.paused_until = now + LIST_UPDATE_S
         return
     left_s = leader.lease_time_left(board, now)
-    if left_s <= 2 * CALL_TIMEOUT_S:
+    if left_s <= 2 * CALL_TIMEOUT_S or not _may_call(board, change.id, now):
         state.change = None
         return
     body = {
@@ -244,6 +254,15 @@
         timeout_s=CALL_TIMEOUT_S,
         not_after=now + left_s - CALL_TIMEOUT_S,
         instance=change.id,
+        born=change.born,
+    )
+
+
+def _may_call(board: boards.Board, id: str, now: float) -> bool:
+    """Returns whether an engine is still usable and asks for no pause."""
+    known = board.state(instances.State)
+    return instances.is_usable(known, id, now) and not (
+        replica_pauses.is_paused(board, known.instances[id], now)
     )
 
 
--- a/packages/hemlockreel/hemlockreel/messages/__init__.py
+++ b/packages/hemlockreel/hemlockreel/messages/__init__.py
@@ -15,6 +15,7 @@
 from .members import SyncRequest
 from .region import ListRead
 from .region import ReplicaChanging
+from .region import ReplicaLeaving
 from .region import ReplicaReport
 from .region import ShardPlan
 from .region import ShardReport
@@ -73,6 +74,7 @@
     "Refusal",
     "Release",
     "ReplicaChanging",
+    "ReplicaLeaving",
     "ReplicaReport",
     "Revoked",
     "ShardPlan",
--- a/packages/hemlockreel/hemlockreel/messages/region.py
+++ b/packages/hemlockreel/hemlockreel/messages/region.py
@@ -46,6 +46,16 @@
     for_s: float
 
 
+class ReplicaLeaving(shared.Message):
+    """A replica has stated in a response that it leaves.
+
+    ``replica`` is an id and ``born`` the start of the run that leaves.
+    """
+
+    replica: str
+    born: int
+
+
 class ListRead(shared.Message):
     """What a reader has read from the platform's store, for other hosts.
 
--- a/packages/hemlockreel/hemlockreel/messages/wire.py
+++ b/packages/hemlockreel/hemlockreel/messages/wire.py
@@ -37,6 +37,7 @@
     | region.ShardReport
     | region.ShardPlan
     | region.ReplicaChanging
+    | region.ReplicaLeaving
     | region.ListRead
 )
 
--- a/packages/hemlockreel/hemlockreel/outcomes.py
+++ b/packages/hemlockreel/hemlockreel/outcomes.py
@@ -35,6 +35,7 @@
     BACKEND_REFUSED = "backend_refused"
     BACKEND_FAILED = "backend_failed"
     BACKEND_SILENT = "backend_silent"
+    BACKEND_PAUSED = "backend_paused"
     REVOKED = "grant_revoked"
     CALLER_GONE = "caller_gone"
     INTERNAL_ERROR = "internal_error"
--- a/standins/hemlockreel_standins/forwarding_rig.py
+++ b/standins/hemlockreel_standins/forwarding_rig.py
@@ -56,6 +56,10 @@
             if isinstance(action, actions.Reply):
                 self.box.put(action.value)
 
+    def query(self, function):
+        """Returns ``function(board)``."""
+        return function(self.board)
+
 
 class Daemon:
     """The parts of a daemon that request handlers use."""
@@ -195,6 +199,9 @@
         self.deadlines.append(left_s)
         return self.on_send(instance, options, box)
 
+    def set_observer(self, observe):
+        """Ignores the observer, as tests post the events themselves."""
+
     def prefill(self, instance, request, left_s, box):
         """Runs the prefill of a request."""
         self.sent.append(("prefill", instance.id, ""))
--- a/standins/hemlockreel_standins/platform_replica.py
+++ b/standins/hemlockreel_standins/platform_replica.py
@@ -41,7 +41,8 @@
     ``status`` and ``body`` are the content of the response, ``event_gap_s`` is
     the time between the events of a stream. ``stage`` is the serving stage of
     an engine, ``None`` for a plain service; ``memory`` is the number of tokens
-    for which an engine has free memory. ``closed_early`` is set when a
+    for which an engine has free memory. ``extra_headers`` are added to all
+    responses. ``closed_early`` is set when a
     connection fails or times out before its response is sent.
     """
 
@@ -56,6 +57,7 @@
         self.event_gap_s = 0.01
         self.memory = 100_000
         self.orders = 0
+        self.extra_headers: tuple[tuple[str, str], ...] = ()
         self.arrivals: list[Arrival] = []
         self.closed_early = threading.Event()
         self._handles: set[str] = set()
@@ -111,9 +113,9 @@
                     return
                 self.arrivals.append(arrival)
                 if arrival.target.startswith("/api/"):
-                    sock.sendall(self._control(arrival))
+                    sock.sendall(self._add_headers(self._control(arrival)))
                 elif arrival.headers.get("hemlockreel-serving-stage"):
-                    sock.sendall(self._prefill())
+                    sock.sendall(self._add_headers(self._prefill()))
                 else:
                     self._answer(sock, arrival)
             except OSError:
@@ -161,7 +163,15 @@
     def _answer(self, sock: socket.socket, arrival: Arrival) -> None:
         respond = getattr(self, f"_answer_{self.mode}")
         for data in respond(arrival):
-            sock.sendall(data)
+            sock.sendall(self._add_headers(data))
+
+    def _add_headers(self, data: bytes) -> bytes:
+        """Adds the extra headers to ``data`` if a response begins there."""
+        if not self.extra_headers or not data.startswith(b"HTTP/1.1 "):
+            return data
+        line, _, rest = data.partition(b"\r\n")
+        lines = [f"{name}: {value}" for name, value in self.extra_headers]
+        return b"\r\n".join([line, *(e.encode() for e in lines), rest])
 
     def _head(
         self, arrival: Arrival, *lines: str, signed: bool = True
--- a/tests/hemlockreel_platform/test_replicas.py
+++ b/tests/hemlockreel_platform/test_replicas.py
@@ -175,3 +175,54 @@
         instance(engine), REQUEST, 1.0, mailbox.Mailbox()
     )
     assert result.ran is NOT_RUN
+
+
+def observe(backends):
+    seen = []
+    backends.set_observer(seen.append)
+    return seen
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [("2", 2.0), ("0.25", 0.25), ("0", 0.0), ("-3", 0.0), ("nan", 0.0),
+     ("inf", 0.0), ("soon", 0.0), ("Fri, 04 Dec 2026 09:00:00 GMT", 0.0),
+     ("1e9", 1e9)],
+)  # fmt: skip
+def test_a_pause_is_read_from_a_503_only(text, seconds):
+    headers = {"Retry-After": text}
+    assert replicas._decode_pause(503, headers) == seconds
+    assert replicas._decode_pause(429, headers) == 0.0
+    assert replicas._decode_pause(200, headers) == 0.0
+
+
+@pytest.mark.parametrize("call", ["send", "prefill", "reserve", "release"])
+def test_every_response_of_a_leaving_replica_is_noticed(call):
+    stand_in = platform_replica.Replica("decode")
+    stand_in.mode = "stream"
+    stand_in.extra_headers = (("Server-Leaving", "1"),)
+    backends = replicas.Replicas()
+    seen = observe(backends)
+    found = instance(stand_in)._replace(born=7)
+    box = mailbox.Mailbox()
+    if call == "send":
+        options = interfaces.SendOptions()
+        backends.send(found, REQUEST, 1.0, options, box)
+    elif call == "prefill":
+        backends.prefill(found, REQUEST, 1.0, box)
+    elif call == "reserve":
+        backends.reserve(found, 10, 1.0)
+    else:
+        backends.release_reservation(found, "hold-1")
+    assert seen == [interfaces.Notice(found.id, 7, True, 0.0)]
+
+
+def test_a_reservation_that_is_turned_away_states_the_pause():
+    stand_in = platform_replica.Replica("decode")
+    stand_in.memory = 0
+    stand_in.extra_headers = (("Retry-After", "1.5"),)
+    backends = replicas.Replicas()
+    seen = observe(backends)
+    found = backends.reserve(instance(stand_in), 10, 1.0)
+    assert found.pause_s == 1.5
+    assert [each.pause_s for each in seen] == [1.5]
