Bound the size and the time of every response as a whole

Cause: the timeout of a call applied to each read, so a server that sent a byte now and then was read without end, and a body had no limit of size. A stated length of 10 GB raised MemoryError, as the body was read at once.

Change: a socket whose reads have a common deadline and size; heads, bodies and stream events have limits, which are settings with checked bounds. Bodies are read in parts. An event beyond its limit is a failure of its replica: the stream resumes elsewhere or ends visibly incomplete. Messages of peers are limited to 1 MiB. In the product's own streams only a complete token extends the time to wait for the next.

--- /dev/null
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/bounded_sockets.py
@@ -0,0 +1,69 @@
+"""Sockets that bound the size and the duration of a response.
+
+A server in trouble may send bytes without end that are no response, quickly or
+one now and then. The timeout of a socket applies to each read alone, so it
+doesn't end such a response; the limits here cover all reads together.
+"""
+
+import math
+import socket
+from typing import Any
+from typing import NamedTuple
+
+from . import clock
+
+# A read may exceed the deadline by this much. It saves the system call that
+# adjusts the timeout for each of them.
+DEADLINE_SLACK_S = 0.05
+
+
+class ResponseLimits(NamedTuple):
+    """The largest head, body and stream event of a response, in bytes."""
+
+    head_bytes: int = 64 * 1024
+    body_bytes: int = 8 * 2**20
+    event_bytes: int = 2**20
+
+
+class ResponseTooLarge(OSError):
+    """A response has more bytes than its limit."""
+
+
+class BoundedSocket(socket.socket):
+    """A connected socket whose reads have a common deadline and size."""
+
+    def __init__(self, connected: socket.socket):
+        timeout_s = connected.gettimeout()
+        super().__init__(
+            connected.family,
+            connected.type,
+            connected.proto,
+            fileno=connected.detach(),
+        )
+        self.settimeout(timeout_s)
+        self._ends_at = math.inf
+        self._left_bytes = math.inf
+
+    def set_limits(self, seconds: float, size: float) -> None:
+        """Limits all further reads to ``seconds`` and ``size`` bytes."""
+        self._ends_at = clock.now() + seconds
+        self._left_bytes = size
+        self.settimeout(max(seconds, 0.0) if seconds < math.inf else None)
+
+    def set_size(self, size: float) -> None:
+        """Limits all further reads to ``size`` bytes, with the same end."""
+        self._left_bytes = size
+
+    def recv_into(self, *arguments: Any) -> int:
+        """Reads like a socket; raises an ``OSError`` beyond the limits."""
+        left_s = self._ends_at - clock.now()
+        if left_s <= 0:
+            raise TimeoutError("the response took too long")
+        timeout_s = self.gettimeout()
+        if timeout_s is None or left_s < timeout_s - DEADLINE_SLACK_S:
+            self.settimeout(left_s if left_s < math.inf else None)
+        count = super().recv_into(*arguments)
+        self._left_bytes -= count
+        if self._left_bytes < 0:
+            raise ResponseTooLarge("the response is too large")
+        return count
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/engine_client.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/engine_client.py
@@ -151,12 +151,16 @@
         """
         rest = b""
         try:
-            opened.sock.settimeout(idle_timeout_s)
+            size = http_calls.limits().event_bytes
+            opened.sock.set_limits(idle_timeout_s, size)
             with box.interrupting(opened.sock):
                 for chunk in opened.response.stream(
-                    None, decode_content=False
+                    http_calls.READ_BYTES, decode_content=False
                 ):
                     *lines, rest = (rest + chunk).split(b"\n")
+                    if lines:
+                        # Only a complete token ends the wait for the next.
+                        opened.sock.set_limits(idle_timeout_s, size)
                     for line in lines:
                         token = _decoder.decode(line)
                         yield backends.Token(*msgspec.structs.astuple(token))
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/plain_requests.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/plain_requests.py
@@ -154,7 +154,7 @@
         """Returns the complete response, or the refusal for a partial one."""
         try:
             with http_calls.interrupting(self.box, head.opened.sock):
-                body = head.opened.response.read(decode_content=False)
+                body = head.opened.read_body()
             return Response(head.status, head.headers, body)
         except http_calls.CALL_ERRORS as error:
             failed = http_calls.to_failure(error)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/stream_forwarding.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/stream_forwarding.py
@@ -9,7 +9,6 @@
 from . import progress
 from . import request_handler
 
-READ_BYTES = 64 * 1024
 OK = 200
 
 
@@ -28,7 +27,7 @@
     try:
         with http_calls.interrupting(handler.box, opened.sock):
             if head.status != OK:
-                body = opened.response.read(decode_content=False)
+                body = opened.read_body()
                 if not handler.exchange.has_started:
                     handler.exchange.reply(head.status, head.headers, body)
                     return None
@@ -66,8 +65,12 @@
             return outcomes.may_have_run(
                 outcomes.Reason.BACKEND_SILENT, "out of time"
             )
-        head.opened.sock.settimeout(left_s)
-        data = head.opened.response.read1(READ_BYTES, decode_content=False)
+        # An endless event or frame must not take all memory.
+        event_bytes = http_calls.limits().event_bytes
+        head.opened.sock.set_limits(left_s, event_bytes)
+        data = head.opened.response.read1(
+            http_calls.READ_BYTES, decode_content=False
+        )
         if handler.box.stopped is not None:
             return outcomes.may_have_run(handler.box.stopped.reason)
         if not data:
@@ -77,6 +80,11 @@
             record.first_event_at = clock.now()
             first_s = record.first_event_at - handler.job.arrived
             handler.tools.daemon.metrics.first_token.observe(first_s)
+        if len(splitter.rest) > event_bytes:
+            detail = f"an event has more than {event_bytes} bytes"
+            return outcomes.may_have_run(
+                outcomes.Reason.BACKEND_FAILED, detail
+            )
         if whole and not handler.exchange.send(whole):
             return _note_caller_gone(handler)
     if splitter.rest:
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/http_calls.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/http_calls.py
@@ -3,6 +3,9 @@
 Connections are not reused: a late response can't be taken for that of another
 request, and a connection that a device in between has dropped is never used
 again. This costs one round trip per call.
+
+All reads of a response together are bounded in time and size, see
+:mod:`bounded_sockets`.
 """
 
 from collections.abc import Iterator
@@ -18,16 +21,41 @@
 from urllib3 import connection
 from urllib3 import exceptions
 
+from . import bounded_sockets
 from . import caller_sockets
 from . import mailbox
 
 CONNECT_TIMEOUT_S = 1.0
+READ_BYTES = 64 * 1024
 
 # On malformed response bytes the connection raises the exceptions of
 # http.client, while the response wraps them in those of urllib3.
 CALL_ERRORS = (exceptions.HTTPError, client.HTTPException, OSError)
 
 
+class _Limits:
+    """The limits of all responses of this process."""
+
+    current = bounded_sockets.ResponseLimits()
+
+
+def limits() -> bounded_sockets.ResponseLimits:
+    """Returns the limits of responses."""
+    return _Limits.current
+
+
+def set_limits(found: bounded_sockets.ResponseLimits) -> None:
+    """Sets the limits of the responses to later calls."""
+    _Limits.current = found
+
+
+class _Connection(connection.HTTPConnection):
+    """A connection over a bounded socket."""
+
+    def _new_conn(self) -> socket.socket:
+        return bounded_sockets.BoundedSocket(super()._new_conn())
+
+
 class CallFailed(NamedTuple):
     """A call without a complete response.
 
@@ -45,7 +73,20 @@
 
     connection: connection.HTTPConnection
     response: urllib3.BaseHTTPResponse
-    sock: socket.socket
+    sock: bounded_sockets.BoundedSocket
+
+    def read_body(self) -> bytes:
+        """Returns the whole body, undecoded.
+
+        It is read in parts: a single read would allocate the length that the
+        server states. Raises one of :data:`CALL_ERRORS`.
+        """
+        if (self.response.length_remaining or 0) > limits().body_bytes:
+            raise bounded_sockets.ResponseTooLarge("the body is too long")
+        parts = []
+        while part := self.response.read1(READ_BYTES, decode_content=False):
+            parts.append(part)
+        return b"".join(parts)
 
     def close(self) -> None:
         """Closes the connection, even if the body was not fully read."""
@@ -66,11 +107,13 @@
 ) -> OpenResponse | CallFailed:
     """Sends a request and waits for the head of the response.
 
-    The call fails at once when ``box`` is stopped. ``timeout_s`` limits each
-    wait for the server, ``connect_timeout_s`` the connecting.
+    The call fails at once when ``box`` is stopped. ``timeout_s`` limits the
+    time of the whole response, ``connect_timeout_s`` that of connecting. The
+    limits of the returned socket are those of a body; a caller that reads a
+    stream replaces them.
     """
     host, _, port = address.rpartition(":")
-    conn = connection.HTTPConnection(
+    conn = _Connection(
         host, int(port), timeout=min(timeout_s, connect_timeout_s)
     )
     try:
@@ -83,6 +126,7 @@
         caller_sockets.enable_keepalive(sock)
         # urllib3 sets this on the socket before each step of the request.
         conn.timeout = timeout_s
+        sock.set_limits(timeout_s, limits().head_bytes)
         with interrupting(box, sock):
             conn.request(
                 method,
@@ -91,7 +135,9 @@
                 headers=headers or {},
                 preload_content=False,
             )
-            return OpenResponse(conn, conn.getresponse(), sock)
+            response = conn.getresponse()
+        sock.set_size(limits().body_bytes)
+        return OpenResponse(conn, response, sock)
     except CALL_ERRORS as error:
         conn.close()
         return to_failure(error)
@@ -117,7 +163,7 @@
         return opened
     try:
         with interrupting(box, opened.sock):
-            value = json.loads(opened.response.read() or b"{}")
+            value = json.loads(opened.read_body() or b"{}")
         return opened.response.status, value, opened.response.headers
     except (*CALL_ERRORS, ValueError) as error:
         return to_failure(error)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/main.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/main.py
@@ -14,6 +14,7 @@
 
 from . import callers
 from . import daemon as daemons
+from . import http_calls
 from . import logs
 from . import operators
 from . import servers
@@ -61,6 +62,7 @@
         print(f"{options.config}: settings are valid")
         return 0
     logs.configure(loaded.log_level)
+    http_calls.set_limits(loaded.responses.limits)
     threading.stack_size(THREAD_STACK_BYTES)
     return _serve(loaded)
 
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/peers.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/peers.py
@@ -17,6 +17,9 @@
 RECEIVE_TIMEOUT_MS = 500
 RECONNECT_MAX_MS = 1000
 MIN_RECONNECT_INTERVAL_S = 2.0  # between two connections to a peer
+# The list of all replicas after a restore is the largest message, with some
+# 100 bytes a replica. A peer that sends more is disconnected.
+MAX_MESSAGE_BYTES = 2**20
 IDLE_TIMEOUT_S = 120.0  # without a message, then the connection is closed
 
 
@@ -27,7 +30,9 @@
         self._metrics = metrics
         self._closing = threading.Event()
         self._inbox = pynng.Pull0(
-            listen=f"tcp://{address}", recv_timeout=RECEIVE_TIMEOUT_MS
+            listen=f"tcp://{address}",
+            recv_timeout=RECEIVE_TIMEOUT_MS,
+            recv_max_size=MAX_MESSAGE_BYTES,
         )
         self._outboxes: dict[str, pynng.Push0] = {}
         self._last_used_at: dict[str, float] = {}
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/service_client.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/service_client.py
@@ -63,7 +63,7 @@
 ) -> outcomes.Responded | backends.CallFailure:
     response = opened.response
     try:
-        body = response.read(decode_content=False)
+        body = opened.read_body()
     except http_calls.CALL_ERRORS as error:
         return _to_call_failure(http_calls.to_failure(error))
     identity = (
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/settings.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/settings.py
@@ -2,10 +2,19 @@
 
 import ipaddress
 import json
+from typing import Annotated
 from typing import Any
 
 import msgspec
 
+from . import bounded_sockets
+
+# A head of 1 KiB holds the headers of any platform; a body must hold a page
+# of the store's lists, 1 MiB.
+HeadBytes = Annotated[int, msgspec.Meta(ge=1024, le=2**20)]
+BodyBytes = Annotated[int, msgspec.Meta(ge=2**20, le=64 * 2**20)]
+EventBytes = Annotated[int, msgspec.Meta(ge=1024, le=16 * 2**20)]
+
 
 class SettingsError(Exception):
     """The settings are invalid; the message is for the operator."""
@@ -19,6 +28,24 @@
     peers: str
 
 
+class Responses(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The largest parts of a response that the daemon reads, in bytes.
+
+    The defaults are those of :class:`bounded_sockets.ResponseLimits`.
+    """
+
+    head_bytes: HeadBytes = bounded_sockets.ResponseLimits().head_bytes
+    body_bytes: BodyBytes = bounded_sockets.ResponseLimits().body_bytes
+    event_bytes: EventBytes = bounded_sockets.ResponseLimits().event_bytes
+
+    @property
+    def limits(self) -> bounded_sockets.ResponseLimits:
+        """The limits as the HTTP calls take them."""
+        return bounded_sockets.ResponseLimits(
+            self.head_bytes, self.body_bytes, self.event_bytes
+        )
+
+
 class Settings(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
@@ -26,7 +53,8 @@
 
     ``store`` and ``host_list`` are the addresses of the platform's services,
     ``seeds`` the peer addresses of some other daemons. ``max_in_flight``
-    limits the concurrent requests of callers.
+    limits the concurrent requests of callers, ``responses`` the size of the
+    responses of other servers.
     """
 
     zone: str
@@ -37,6 +65,7 @@
     seeds: tuple[str, ...] = ()
     max_in_flight: int = 600
     log_level: str = "INFO"
+    responses: Responses = Responses()
 
 
 def load(path: str) -> Settings:
--- a/packages/hemlockreel-daemon/tests/forwarding/test_generation_streams.py
+++ b/packages/hemlockreel-daemon/tests/forwarding/test_generation_streams.py
@@ -3,6 +3,7 @@
 import pytest
 
 from hemlockreel import outcomes
+from hemlockreel_daemon import http_calls
 from hemlockreel_standins import forwarding_rig as rigs
 
 from hemlockreel_daemon.forwarding import interfaces
@@ -130,3 +131,23 @@
     assert rig.handle_request().status == 503
     assert rig.backends.count("decode") == 0
     assert rig.backends.count("drop") == rig.backends.count("hold")
+
+
+@pytest.mark.parametrize("max_attempts", [1, 2])
+def test_an_event_without_end_is_a_failure_of_its_replica(max_attempts):
+    """The stream goes on elsewhere, or ends visibly incomplete."""
+    rig = rigs.Rig(rigs.engine("d1", "decode"), rigs.engine("d2", "decode"))
+    endless = [b"x" * 2**16] * (http_calls.limits().event_bytes // 2**16 + 1)
+    streams = [
+        rigs.make_response(b"id: 1\n\nid: 2\ndata: ", *endless, b"\n\n"),
+        rigs.make_response(b"id: 2\n\n"),
+    ]
+    rig.backends.on_send = lambda *_: streams.pop(0)
+    route = rigs.ROUTE._replace(resumable=True, max_attempts=max_attempts)
+    found = rig.handle_request(route)
+    if max_attempts == 1:
+        assert found.was_aborted
+        assert found.body == b"id: 1\n\n"
+    else:
+        assert not found.was_aborted
+        assert found.body == b"id: 1\n\nid: 2\n\n"
--- a/standins/hemlockreel_standins/forwarding_rig.py
+++ b/standins/hemlockreel_standins/forwarding_rig.py
@@ -137,8 +137,12 @@
         self.closed = False
         self.waits: list[float] = []
 
-    def settimeout(self, seconds):
-        """Records the timeout for the next bytes."""
+    def read_body(self):
+        """Returns the whole body."""
+        return self.response.read()
+
+    def set_limits(self, seconds, size):
+        """Records the time limit for the next bytes."""
         self.waits.append(seconds)
 
     def shutdown(self, how):
--- a/tests/hemlockreel_platform/test_settings.py
+++ b/tests/hemlockreel_platform/test_settings.py
@@ -26,6 +26,15 @@
     assert loaded.daemon.seeds == ("10.2.0.28:8146",)
     assert loaded.ttl_s == 1.5
     assert loaded.limits.grace_s == 8.0
+    assert not loaded.limits.is_first_start
+    assert loaded.daemon.responses == product.Responses()
+
+
+def test_limits_of_responses_and_the_first_start_are_decoded():
+    text = LINES + "bootstrap=true\nresponses.event_bytes=4096\n"
+    loaded = settings.decode(settings.parse(text))
+    assert loaded.limits.is_first_start
+    assert loaded.daemon.responses.limits.event_bytes == 4096
 
 
 @pytest.mark.parametrize(
@@ -33,6 +42,9 @@
     [
         (LINES.replace("zone=a", "zone="), "zone is missing"),
         (LINES + "\nnonsense", "expected NAME=VALUE"),
+        (LINES + "\nresponses.head_bytes=1", r"responses: .*\.head_bytes"),
+        (LINES + "\nresponses.body_bytes=x", r"responses: .*\.body_bytes"),
+        (LINES + "\nresponses.event_bytes=999999999", r"\.event_bytes"),
         (LINES.replace("grace_s=8", "grace_s=x"), "expected a number"),
     ],
 )
