Mend five faults that were listed after reading the code

Each had a test that failed before the change: - An exception in a query of operators ended the process; it is raised at the caller of the query and logged (test_loop.py). - A read of claims without a response was repeated by every new claim; it waits for the retry delay, as writes did (test_claims.py). - Cache events were polled from the engines listed for prefill; now from those that report that role, as the fleet uses them (test_engine_polling.py). - DISPUTED_RELIST_S was unused: an engine whose orphans are undecided was listed again after the shorter time for a failed call (test_takeover.py). - Lines exempt from the rate limit were dropped when the queue was full; 200 places are kept for them (test_logs.py).

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/logs.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/logs.py
@@ -3,7 +3,7 @@
 A separate thread writes the lines, so a slow log reader blocks no other
 thread. The rate and the queue are bounded; excess lines are dropped and their
 number is logged. Lines about the life of the process and its dependencies are
-rare and exempt from the rate limit.
+rare and exempt from the rate limit; a part of the queue is kept for them.
 """
 
 import logging
@@ -19,6 +19,7 @@
 
 LOG = logging.getLogger("hemlockreel")
 MAX_QUEUED_LINES = 2000  # about 600 KB
+RESERVED_LINES = 200  # of the queue, beyond the others, for exempt lines
 LINES_PER_S = 200.0  # several times what the requests of a busy host need
 BURST_LINES = 1000
 RATE_LIMIT_EXEMPT = frozenset(
@@ -54,7 +55,9 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Queues a line or counts it as dropped."""
-        if record.msg not in RATE_LIMIT_EXEMPT and not self._take_token():
+        if record.msg not in RATE_LIMIT_EXEMPT and (
+            self.queue.qsize() >= MAX_QUEUED_LINES or not self._take_token()
+        ):
             self.dropped += 1
             return
         if self.dropped:
@@ -97,7 +100,9 @@
     writer.setFormatter(
         jsonlogger.JsonFormatter("%(asctime)s %(levelname)s %(message)s")
     )
-    bounded = _RateLimitedHandler(queue.Queue(MAX_QUEUED_LINES))
+    bounded = _RateLimitedHandler(
+        queue.Queue(MAX_QUEUED_LINES + RESERVED_LINES)
+    )
     _listener = handlers.QueueListener(bounded.queue, writer)
     _listener.start()
     LOG.handlers = [bounded]
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/loop.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/loop.py
@@ -64,11 +64,16 @@
     def query(self, function: Callable[[boards.Board], Any]) -> Any:
         """Returns ``function(board)``, computed on the loop's thread.
 
-        Raises :class:`queue.Empty` if the loop doesn't respond within 5 s.
+        Raises :class:`queue.Empty` if the loop doesn't respond within 5 s, and
+        what ``function`` raises. A function that fails is an error of its
+        caller and does not end the loop.
         """
         results: queue.SimpleQueue = queue.SimpleQueue()
         self.post(_Query(function, results))
-        return results.get(timeout=5.0)
+        value, error = results.get(timeout=5.0)
+        if error is not None:
+            raise error
+        return value
 
     def _run_guarded(self) -> None:
         """Runs the loop; makes the process exit if the core raises.
@@ -91,13 +96,21 @@
                 event = events.Tick(time.time())
                 next_tick = clock.now() + TICK_S
             if isinstance(event, _Query):
-                event.results.put(event.function(self._board))
+                event.results.put(self._answer(event))
                 continue
             self._step(event)
             if clock.now() >= next_tick:
                 self._step(events.Tick(time.time()))
                 next_tick = clock.now() + TICK_S
 
+    def _answer(self, query: "_Query") -> tuple[Any, Exception | None]:
+        """Returns the result of a query, or what it raised."""
+        try:
+            return query.function(self._board), None
+        except Exception as error:
+            logs.write("query_failed", {"trace": traceback.format_exc()})
+            return None, error
+
     def _step(self, event: Any) -> None:
         now = clock.now()
         for action in core.step(self._board, event, now, self._controllers):
--- a/packages/hemlockreel-daemon/tests/test_logs.py
+++ b/packages/hemlockreel-daemon/tests/test_logs.py
@@ -87,3 +87,26 @@
     logs.write("stopped", {})
     logs.stop()
     assert lines(stream)[-1]["message"] == "stopped"
+
+
+def test_lines_about_the_process_find_room_in_a_full_queue(monkeypatch):
+    """The log is not read while the daemon writes many lines."""
+    monkeypatch.setattr(logs, "BURST_LINES", 4 * logs.MAX_QUEUED_LINES)
+    read_end, write_end = os.pipe()
+    stream = os.fdopen(write_end, "w", buffering=1)
+    logs.configure("INFO", stream)
+    for number in range(3 * logs.MAX_QUEUED_LINES):
+        logs.write("line", {"number": number, "text": "x" * 200})
+    logs.write("store_lost", {"kind": "instances"})
+    found = []
+
+    def read():
+        with os.fdopen(read_end) as pipe:
+            found.extend(json.loads(line)["message"] for line in pipe)
+
+    reader = threading.Thread(target=read, daemon=True)
+    reader.start()
+    logs.stop()
+    stream.close()
+    reader.join(10.0)
+    assert "store_lost" in found
--- a/packages/hemlockreel/hemlockreel/claim_buckets.py
+++ b/packages/hemlockreel/hemlockreel/claim_buckets.py
@@ -21,7 +21,7 @@
 from . import events
 
 CALL_TIMEOUT_S = 1.0
-RETRY_DELAY_S = 0.1  # before the next write if a call got no response
+RETRY_DELAY_S = 0.1  # before the next call if one got no response
 MAX_CACHED_BUCKETS = 256  # with their content, between operations
 # The store accepts objects of 1 MiB, counted after JSON escaping.
 MAX_BUCKET_BYTES = 900_000
@@ -100,6 +100,7 @@
         self.entries: dict[str, claim_entries.Entry] = {}
         self.queue: list[_Pending] = []
         self.call: _StoreCall | None = None
+        self.next_call_at = 0.0
         self.next_write_at = 0.0
 
 
@@ -199,7 +200,7 @@
     if unknown:
         for pending in call.included:
             pending.sent = True
-        bucket.next_write_at = now + RETRY_DELAY_S
+        bucket.next_call_at = now + RETRY_DELAY_S
     elif event.status in (200, 201) and call.entries is not None:
         yield from _write_succeeded(state, bucket, call, event, now)
     elif event.status in (200, 404, 412):
@@ -293,6 +294,7 @@
     if (
         bucket.call is not None
         or not bucket.queue
+        or now < bucket.next_call_at
         or _is_store_unresponsive(state)
     ):
         return
--- a/packages/hemlockreel/hemlockreel/engine_polling.py
+++ b/packages/hemlockreel/hemlockreel/engine_polling.py
@@ -93,6 +93,22 @@
     return polled
 
 
+def _current_role(
+    board: boards.Board, shard: str, replica: replicas.Replica
+) -> replicas.Role:
+    """Returns the role that an engine reports, or else the listed one.
+
+    The list follows a change of role only later.
+    """
+    shard_ledger = board.state(grants.State).ledgers.get(shard)
+    if (
+        isinstance(shard_ledger, ledger.Ledger)
+        and replica.address in shard_ledger.fleet.replicas
+    ):
+        return shard_ledger.fleet.role(replica.address)
+    return replica.role
+
+
 def _poll_cache_events(
     board: boards.Board, state: State
 ) -> Iterable[actions.Action]:
@@ -100,7 +116,7 @@
     polled = [
         (shard, replica.address)
         for shard, replica in _polled_replicas(board)
-        if replica.role is replicas.Role.PREFILL
+        if _current_role(board, shard, replica) is replicas.Role.PREFILL
     ]
     state.cache_seq = {
         address: state.cache_seq.get(address, 0) for _, address in polled
--- a/packages/hemlockreel/hemlockreel/takeover.py
+++ b/packages/hemlockreel/hemlockreel/takeover.py
@@ -329,7 +329,7 @@
             continue
         if is_undecided:
             # Its entry may be on the other side of a network partition.
-            state.next_list_at[address] = now + RETRY_S
+            state.next_list_at[address] = now + DISPUTED_RELIST_S
             continue
         yield actions.Count("orphans")
         yield from cancels.start(board, address, request_id, None, now)
--- a/packages/hemlockreel/tests/test_claims.py
+++ b/packages/hemlockreel/tests/test_claims.py
@@ -212,3 +212,14 @@
     claim(rig, "r3", key="newer")
     claim(rig, "r4", key="newest")
     assert isinstance(claim(rig, "r5", key="old"), claims.Claimed)
+
+
+def test_a_read_without_response_is_not_repeated_at_once(rig):
+    """Otherwise each new claim sends one more call to a store in trouble."""
+    rig.request_claim("r1")
+    rig.answer(how="dropped")
+    rig.now += claim_buckets.RETRY_DELAY_S / 2
+    rig.request_claim("r2")
+    assert not rig.calls
+    rig.pass_time(claim_buckets.RETRY_DELAY_S + 0.2)
+    assert last(rig, "r1")
