--- a/standins/hemlockreel_standins/platform_replica.py
+++ b/standins/hemlockreel_standins/platform_replica.py
@@ -232,6 +232,28 @@
         """States that the request was not executed."""
         yield encode_json(503, {}, (("Hemlockreel-Not-Executed", "1"),))
 
+    def _answer_paused(self, arrival: Arrival) -> Iterable[bytes]:
+        """Turns the request away and asks its sender for a pause."""
+        headers = (("Hemlockreel-Not-Executed", "1"), ("Retry-After", "1"))
+        yield encode_json(503, {}, headers)
+
+    def _answer_endless(self, arrival: Arrival) -> Iterable[bytes]:
+        """Sends bytes that are no head until the caller closes."""
+        while True:
+            yield b"x" * 4096
+
+    def _answer_endless_body(self, arrival: Arrival) -> Iterable[bytes]:
+        """Sends a body until the caller closes."""
+        yield self._head(arrival)
+        yield from self._answer_endless(arrival)
+
+    def _answer_dribble(self, arrival: Arrival) -> Iterable[bytes]:
+        """Sends a byte of a head now and then until the caller closes."""
+        yield b"HTTP/1.1 200 OK\r\nX-A: "
+        while True:
+            time.sleep(0.05)
+            yield b"x"
+
     def _answer_misdirected(self, arrival: Arrival) -> Iterable[bytes]:
         """States that another instance has this address."""
         yield encode_json(421, {}, (("Hemlockreel-Instance-Id", "i-other"),))
--- a/standins/hemlockreel_standins/soak/backends.py
+++ b/standins/hemlockreel_standins/soak/backends.py
@@ -138,7 +138,7 @@
                 platform_replica.encode_json(503, {}, NOT_RUN_HEADERS)
             )
             return
-        if self.mode == "not_run":
+        if self.mode in ("not_run", "paused"):
             super()._answer(sock, arrival)
             return
         began_at = time.monotonic()
--- a/standins/hemlockreel_standins/soak/plan.py
+++ b/standins/hemlockreel_standins/soak/plan.py
@@ -35,6 +35,7 @@
     REPLICA_LOST = "replica_lost"
     ROUTE_MOVED = "route_moved"
     ALL_KILLED = "all_killed"
+    STORE_RESTORED = "store_restored"  # from a copy some seconds old
 
 
 # The relative frequency of each kind. Killing all hosts is rare, since it
@@ -51,9 +52,36 @@
     Kind.STORE_BUSY: 3.0,
     Kind.REPLICA_LINK: 4.0,
     Kind.REPLICA_FAILS: 4.0,
+    Kind.STORE_RESTORED: 5.0,
 }
 LINK_MODES = ("delayed", "reset", "silent", "no_requests", "no_answers")
-REPLICA_MODES = ("no_bytes", "garbage", "silent", "not_run", "own_torn")
+REPLICA_MODES = (
+    "no_bytes",
+    "garbage",
+    "silent",
+    "not_run",
+    "own_torn",
+    "paused",
+    "endless",
+    "endless_body",
+    "dribble",
+)
+
+
+class Choices(NamedTuple):
+    """The kinds of faults and the modes of failing replicas in a plan."""
+
+    kinds: tuple[Kind, ...] = tuple(Kind)
+    replica_modes: tuple[str, ...] = REPLICA_MODES
+
+
+ALL_CHOICES = Choices()
+# A plan follows from its seed and these. Seeds that failed before the later
+# kinds existed are played with the earlier ones.
+EARLIER_CHOICES = Choices(
+    tuple(kind for kind in Kind if kind is not Kind.STORE_RESTORED),
+    REPLICA_MODES[:5],
+)
 
 
 class Step(NamedTuple):
@@ -66,7 +94,13 @@
     how: str = ""
 
 
-def make(seed: int, seconds: float, hosts: int, replicas: int) -> list[Step]:
+def make(
+    seed: int,
+    seconds: float,
+    hosts: int,
+    replicas: int,
+    choices: Choices = ALL_CHOICES,
+) -> list[Step]:
     """Returns the faults of a run, sorted by their start.
 
     After the warm-up, series of faults begin for ``seconds``. Later faults of
@@ -80,12 +114,16 @@
     steps = []
     at_s = WARM_UP_S
     while at_s < last_s:
-        kind = rng.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
+        weights = [WEIGHTS[kind] for kind in choices.kinds]
+        kind = rng.choices(choices.kinds, weights)[0]
         for turn in range(
             rng.choice((1, 1, 1, rng.randint(2, MAX_SERIES_LENGTH)))
         ):
             begins_s = at_s + turn * SERIES_GAP_S
-            steps.append(_make_step(rng, begins_s, kind, hosts, replicas))
+            step = _make_step(rng, begins_s, kind, hosts, replicas)
+            if step.kind is Kind.REPLICA_FAILS:
+                step = step._replace(how=rng.choice(choices.replica_modes))
+            steps.append(step)
         at_s += rng.expovariate(1 / MEAN_INTERVAL_S)
     return sorted(steps, key=lambda step: step.at_s)
 
@@ -99,8 +137,6 @@
     how = ""
     if kind in (Kind.STORE_LINK, Kind.REPLICA_LINK):
         how = rng.choice(LINK_MODES)
-    elif kind is Kind.REPLICA_FAILS:
-        how = rng.choice(REPLICA_MODES)
     return Step(
         at_s, kind, index, for_s if kind in MAX_DURATION_S else 0.0, how
     )
--- a/standins/hemlockreel_standins/soak/play.py
+++ b/standins/hemlockreel_standins/soak/play.py
@@ -36,6 +36,7 @@
     hosts: int,
     caller_count: int,
     folder: pathlib.Path,
+    choices: plan.Choices = plan.ALL_CHOICES,
 ) -> Result:
     """Runs the plan for ``seed`` and returns the result.
 
@@ -45,7 +46,7 @@
     ``folder``.
     """
     log = records.Log()
-    steps = plan.make(seed, seconds, hosts, len(site.REPLICAS))
+    steps = plan.make(seed, seconds, hosts, len(site.REPLICAS), choices)
     with site.Site(folder, hosts, log) as deployment:
         stopping = threading.Event()
         threads = _start_callers(deployment, seed, caller_count, stopping)
@@ -161,6 +162,7 @@
         kind.STORE_FORGETS: lambda: deployment.inject_store_fault(
             "forget", step.for_s
         ),
+        kind.STORE_RESTORED: lambda: deployment.restore_store(step.for_s),
         kind.REPLICA_LINK: lambda: deployment.inject_link_fault(
             replica.link, replica.backend.id, step.how, step.for_s
         ),
--- a/standins/hemlockreel_standins/soak/site.py
+++ b/standins/hemlockreel_standins/soak/site.py
@@ -6,6 +6,7 @@
 import subprocess
 import threading
 import time
+from typing import Any
 
 from .. import platform_site
 from .. import platform_store
@@ -20,6 +21,10 @@
 # How long a draining replica still serves: its drain_ms and more.
 REPLICA_DRAIN_S = 4.0
 SWEEP_S = 0.1
+# After a restore of the store: until what was lost is written again, and from
+# then until entries without heartbeats expire.
+REWRITE_S = 1.5
+EXPIRE_S = 2.5
 LINK_DELAY_S = 0.3
 MAX_LOST_ANSWERS = 20  # responses, or fewer if the fault ends before
 # The moving route is served by one of these services at a time.
@@ -69,6 +74,8 @@
         self._served_by = SERVICES[0]
         self._moved_at = 0.0
         self._move = threading.Lock()
+        self._written: dict[tuple[str, str], Any] = {}
+        self._writing = threading.Lock()
         self.store = platform_store.Store()
         self._store_address = server.start(self.store)
         self.prefill_results = backends.PrefillResults(log)
@@ -109,7 +116,7 @@
                 route["service"] = self._served_by
         found["services"].append({"name": "kiosk", "max_connections": 192})
         self._moved_at = time.monotonic()
-        self.store.put("config", "main", found)
+        self._put("config", "main", found)
 
     def move_route(self) -> None:
         """Switches the route to the other service."""
@@ -140,19 +147,20 @@
         self, backend: backends.RecordingReplica, service: str, state: str
     ) -> None:
         entry = backend.entry(service, platform_site.ZONE, state)
-        self.store.put("servers", backend.id, entry)
+        self._put("servers", backend.id, entry)
 
     def replace(self, replica: ReplicaSlot) -> None:
         """Starts a successor, then drains and stops the replica."""
         old, old_link = replica.backend, replica.link
         self._start_replica(replica)
+        old.extra_headers = (("Server-Leaving", "1"),)
         self._register(old, replica.service, "draining")
         began_at = time.monotonic()
         self.closing.wait(REPLICA_DRAIN_S)
         self.log.add(
             records.Span("leaving", old.id, began_at, time.monotonic())
         )
-        self.store.remove("servers", old.id)
+        self._remove("servers", old.id)
         old_link.close()
         old.close()
 
@@ -166,7 +174,7 @@
         self._start_replica(replica)
         # By then the missing heartbeats have been noticed.
         self.closing.wait(REPLICA_DRAIN_S)
-        self.store.remove("servers", old.id)
+        self._remove("servers", old.id)
         self.log.add(records.Span("lost", old.id, began_at, time.monotonic()))
 
     def inject_replica_fault(
@@ -259,6 +267,43 @@
         self.store.faults[fault] = self.store.defaults[fault]
         self._record(f"store_{fault}", promises.ALL_HOSTS, began_at)
 
+    def restore_store(self, age_s: float) -> None:
+        """Puts back a copy of the store that is ``age_s`` old.
+
+        The operator and the replicas write again what was lost. Entries of
+        replicas that have left expire.
+        """
+        self.store.save()
+        self.closing.wait(age_s)
+        began_at = time.monotonic()
+        with self._writing:
+            self.store.restore()
+        self.closing.wait(REWRITE_S)
+        with self._writing:
+            for key, value in self._written.items():
+                found = self.store.objects.get(key)
+                if found is None or found["specification"] != value:
+                    self.store.put(*key, value)
+        self.closing.wait(EXPIRE_S)
+        with self._writing:
+            kinds = {kind for kind, _ in self._written}
+            for key in set(self.store.objects) - set(self._written):
+                if key[0] in kinds:
+                    self.store.remove(*key)
+        self._record("store_restored", promises.ALL_HOSTS, began_at)
+
+    def _put(self, kind: str, name: str, value: Any) -> None:
+        """Writes an object that is written again after a restore."""
+        with self._writing:
+            self._written[kind, name] = value
+            self.store.put(kind, name, value)
+
+    def _remove(self, kind: str, name: str) -> None:
+        with self._writing:
+            self._written.pop((kind, name), None)
+            if (kind, name) in self.store.objects:
+                self.store.remove(kind, name)
+
     def _record(self, kind: str, target: str, began_at: float) -> None:
         now = time.monotonic()
         self.log.add(records.Span(kind, target, began_at, now))
--- a/standins/tests/soak/test_play.py
+++ b/standins/tests/soak/test_play.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from hemlockreel_standins.soak import plan
 from hemlockreel_standins.soak import play
 
 # The seeds are fixed, so that CI runs are repeatable; `make soak` uses new
@@ -14,6 +15,18 @@
 
 @pytest.mark.parametrize("case", [SHORT, PAUSED])
 def test_no_promise_is_broken(case, tmp_path):
-    found = play.play(*case, tmp_path)
+    found = play.play(*case, tmp_path, plan.EARLIER_CHOICES)
+    assert found.violations == []
+    assert found.steps > 0
+
+
+def test_no_promise_is_broken_by_the_later_kinds(tmp_path):
+    """Restores of the store, and replicas that pause or never end."""
+    choices = plan.Choices(
+        (plan.Kind.STORE_RESTORED, plan.Kind.REPLICA_FAILS,
+         plan.Kind.REPLICA_LEAVES, plan.Kind.HOST_STOPPED),
+        plan.REPLICA_MODES[5:],
+    )  # fmt: skip
+    found = play.play(3, 8.0, 3, 8, tmp_path, choices)
     assert found.violations == []
     assert found.steps > 0
