Keep connections to replicas for a moment between short calls

Change: reservations, releases and frees use a connection again that was idle for at most 0.25 s, belongs to the same run of the replica, had a complete response of stated length without Connection: close, and has nothing to read. A call that fails on a kept connection is made once more on a new one; all these calls may be repeated. Requests of callers still get a connection each, so a booking never meets a connection whose reset leaves open whether it ran.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
@@ -127,6 +127,7 @@
         loop = self.daemon.loop
         while not self.daemon.exiting.wait(COUNT_PERIOD_S):
             self._server.grow_if_busy()
+            self._tools.backends.close_idle()
             if self.phase.stopping:
                 loop.post(events.CallersCounted(self._active))
 
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/interfaces.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/interfaces.py
@@ -152,6 +152,10 @@
         """Sets the function that gets the notices of all responses."""
         ...
 
+    def close_idle(self) -> None:
+        """Closes connections that are no longer worth keeping."""
+        ...
+
     def send(
         self,
         instance: instances.Instance,
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/http_calls.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/http_calls.py
@@ -1,8 +1,9 @@
 """Blocking HTTP calls, each on a new connection.
 
-Connections are not reused: a late response can't be taken for that of another
-request, and a connection that a device in between has dropped is never used
-again. This costs one round trip per call.
+Connections are not reused here: a late response can't be taken for that of
+another request, and a connection that a device in between has dropped is never
+used again. This costs one round trip per call, which :mod:`kept_connections`
+saves for short calls in quick succession.
 
 All reads of a response together are bounded in time and size, see
 :mod:`bounded_sockets`.
@@ -124,6 +125,41 @@
     sock = conn.sock
     try:
         caller_sockets.enable_keepalive(sock)
+    except OSError as error:
+        conn.close()
+        return CallFailed(False, f"connect: {error}")
+    return _send(conn, sock, method, path, body, headers or {}, timeout_s, box)
+
+
+def send_again(
+    kept: OpenResponse,
+    method: str,
+    path: str,
+    body: bytes | None,
+    headers: dict[str, str],
+    timeout_s: float,
+) -> OpenResponse | CallFailed:
+    """Sends another request on the connection of a finished response.
+
+    The connection is closed if that fails.
+    """
+    return _send(
+        kept.connection, kept.sock, method, path, body, headers, timeout_s
+    )
+
+
+def _send(
+    conn: connection.HTTPConnection,
+    sock: bounded_sockets.BoundedSocket,
+    method: str,
+    path: str,
+    body: bytes | None,
+    headers: dict[str, str],
+    timeout_s: float,
+    box: mailbox.Mailbox | None = None,
+) -> OpenResponse | CallFailed:
+    """Sends a request on an open connection and waits for the head."""
+    try:
         # urllib3 sets this on the socket before each step of the request.
         conn.timeout = timeout_s
         sock.set_limits(timeout_s, limits().head_bytes)
@@ -132,7 +168,7 @@
                 method,
                 path,
                 body=body,
-                headers=headers or {},
+                headers=headers,
                 preload_content=False,
             )
             response = conn.getresponse()
--- /dev/null
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/kept_connections.py
@@ -0,0 +1,152 @@
+"""Connections that stay open for a moment between short calls.
+
+A request that waits for memory asks the same replicas again every few dozen
+milliseconds, and a new connection for each of these calls costs a round trip
+and a place at the replica. A connection is used again only if
+
+* its last response was complete, of a stated length, and allowed it;
+* nothing more has arrived on it, such as a late second response;
+* it was idle for a short time, less than devices in between forget.
+
+It serves calls that may be repeated only. One that fails without a response
+on a kept connection is made once more on a new one.
+"""
+
+import contextlib
+import json
+import select
+import threading
+from typing import Any
+from typing import NamedTuple
+
+from . import clock
+from . import http_calls
+
+# Replicas and devices in between drop connections that were idle for 0.3 s or
+# more. A waiting request asks again after at most 0.12 s.
+MAX_IDLE_S = 0.25
+MAX_KEPT = 2  # for each key; more would only serve simultaneous bursts
+
+Response = tuple[int, dict[str, Any], Any]
+
+
+class _Kept(NamedTuple):
+    """An idle connection and the time since when it is idle."""
+
+    opened: http_calls.OpenResponse
+    idle_since: float
+
+
+class Pool:
+    """Idle connections by a key that identifies one run of a server."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._idle: dict[Any, list[_Kept]] = {}
+
+    def call_json(
+        self,
+        key: Any,
+        address: str,
+        method: str,
+        path: str,
+        body: Any,
+        headers: dict[str, str],
+        timeout_s: float,
+    ) -> Response | http_calls.CallFailed:
+        """Makes a call like :func:`http_calls.call_json`."""
+        data = None if body is None else json.dumps(body).encode()
+        sent = {"Content-Type": "application/json", **headers}
+        ends_at = clock.now() + timeout_s
+        kept = self._take(key)
+        if kept is not None:
+            opened = http_calls.send_again(
+                kept, method, path, data, sent, timeout_s
+            )
+            found = self._finish(key, opened)
+            if not isinstance(found, http_calls.CallFailed):
+                return found
+            timeout_s = ends_at - clock.now()
+            if timeout_s <= 0:
+                return found
+        return self._finish(
+            key,
+            http_calls.open_call(address, method, path, data, sent, timeout_s),
+        )
+
+    def close_idle(self) -> None:
+        """Closes the connections that were idle for too long."""
+        latest = clock.now() - MAX_IDLE_S
+        with self._lock:
+            old = [
+                each
+                for kept in self._idle.values()
+                for each in kept
+                if each.idle_since < latest
+            ]
+            self._idle = {
+                key: left
+                for key, kept in self._idle.items()
+                if (left := [e for e in kept if e.idle_since >= latest])
+            }
+        for each in old:
+            each.opened.close()
+
+    def _take(self, key: Any) -> http_calls.OpenResponse | None:
+        """Returns a usable idle connection, ``None`` if there is none."""
+        while True:
+            with self._lock:
+                kept = self._idle.get(key)
+                if not kept:
+                    return None
+                newest = kept.pop()
+            idle_s = clock.now() - newest.idle_since
+            if idle_s <= MAX_IDLE_S and not _has_input(newest.opened):
+                return newest.opened
+            newest.opened.close()
+
+    def _finish(
+        self, key: Any, opened: http_calls.OpenResponse | http_calls.CallFailed
+    ) -> Response | http_calls.CallFailed:
+        """Reads the response and keeps the connection if that is safe."""
+        if isinstance(opened, http_calls.CallFailed):
+            return opened
+        may_keep = False
+        try:
+            value = json.loads(opened.read_body() or b"{}")
+            may_keep = _is_reusable(opened)
+        except (*http_calls.CALL_ERRORS, ValueError) as error:
+            return http_calls.to_failure(error)
+        finally:
+            if not (may_keep and self._keep(key, opened)):
+                opened.close()
+        return opened.response.status, value, opened.response.headers
+
+    def _keep(self, key: Any, opened: http_calls.OpenResponse) -> bool:
+        with self._lock:
+            kept = self._idle.setdefault(key, [])
+            if len(kept) >= MAX_KEPT:
+                return False
+            kept.append(_Kept(opened, clock.now()))
+            return True
+
+
+def _is_reusable(opened: http_calls.OpenResponse) -> bool:
+    """Returns whether the server keeps the connection after a response."""
+    response = opened.response
+    return (
+        response.version == 11
+        and response.headers.get("Content-Length", "").isdigit()
+        and "close" not in response.headers.get("Connection", "").lower()
+        and opened.connection.sock is not None
+        and not _has_input(opened)
+    )
+
+
+def _has_input(opened: http_calls.OpenResponse) -> bool:
+    """Returns whether bytes or the end of the connection have arrived."""
+    with contextlib.suppress(OSError, ValueError):
+        poll = select.poll()
+        poll.register(opened.sock, select.POLLIN | select.POLLRDHUP)
+        return bool(poll.poll(0))
+    return True
--- /dev/null
+++ b/packages/hemlockreel-daemon/tests/test_kept_connections.py
@@ -0,0 +1,159 @@
+"""Connections that are used again for short calls, and when they must not be.
+
+They guard against a late second response that the next call reads as its own,
+and against connections that the server or a device in between has forgotten.
+"""
+
+import contextlib
+import socket
+import threading
+import time
+
+import pytest
+
+from hemlockreel_daemon import http_calls
+from hemlockreel_daemon import kept_connections
+
+TIMEOUT_S = 0.5
+
+
+class Server:
+    """Responds to the number of the request, counted over all connections.
+
+    ``after`` is sent behind each response, ``header`` within it. A silent
+    server reads all requests but responds only to the first of a connection,
+    one that ``hangs_up`` closes the connection after it.
+    """
+
+    def __init__(self):
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self.connections = 0
+        self.requests = 0
+        self.after = b""
+        self.header = ""
+        self.delay_s = 0.0
+        self.is_silent = self.hangs_up = False
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            sock, _ = self._listener.accept()
+            self.connections += 1
+            threading.Thread(
+                target=self._serve, args=(sock,), daemon=True
+            ).start()
+
+    def _serve(self, sock):
+        count = 0
+        with sock, contextlib.suppress(OSError):
+            while sock.recv(65536):
+                self.requests += 1
+                count += 1
+                if self.is_silent and count > 1:
+                    continue
+                sock.sendall(self._response(self.requests))
+                if self.after:
+                    time.sleep(self.delay_s)
+                    sock.sendall(self.after)
+                if self.hangs_up:
+                    return
+
+    def _response(self, number):
+        body = str(number).encode()
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n"
+        return (head + self.header + "\r\n").encode() + body
+
+
+@pytest.fixture
+def server():
+    return Server()
+
+
+@pytest.fixture
+def pool():
+    return kept_connections.Pool()
+
+
+def call(pool, server, key="run"):
+    found = pool.call_json(
+        key, server.address, "POST", "/x", {}, {}, TIMEOUT_S
+    )
+    return found if isinstance(found, http_calls.CallFailed) else found[1]
+
+
+def test_calls_in_quick_succession_share_a_connection(pool, server):
+    assert [call(pool, server) for _ in range(5)] == [1, 2, 3, 4, 5]
+    assert server.connections == 1
+
+
+def test_each_run_of_a_server_has_its_own_connections(pool, server):
+    call(pool, server, "first run")
+    call(pool, server, "second run")
+    assert server.connections == 2
+
+
+def test_a_connection_that_was_idle_is_not_used_again(pool, server):
+    call(pool, server)
+    time.sleep(kept_connections.MAX_IDLE_S + 0.1)
+    assert call(pool, server) == 2
+    assert server.connections == 2
+
+
+def test_idle_connections_are_closed(pool, server):
+    call(pool, server)
+    time.sleep(kept_connections.MAX_IDLE_S + 0.1)
+    pool.close_idle()
+    assert not pool._idle
+
+
+@pytest.mark.parametrize(
+    "header",
+    ["Connection: close\r\n", "Connection: Keep-Alive, Close\r\n"],
+)
+def test_a_server_that_closes_is_not_sent_another_call(pool, server, header):
+    server.header = header
+    assert [call(pool, server) for _ in range(3)] == [1, 2, 3]
+    assert server.connections == 3
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.05])
+def test_a_late_second_response_is_not_read_by_the_next_call(
+    pool, server, delay_s
+):
+    server.after = server._response(77)
+    server.delay_s = delay_s
+    for number in range(1, 5):
+        assert call(pool, server) == number
+        time.sleep(2 * delay_s)
+
+
+def test_bytes_behind_a_response_close_its_connection(pool, server):
+    server.after, server.delay_s = b"x", 0.02
+    call(pool, server)
+    time.sleep(0.1)
+    assert call(pool, server) == 2
+    assert server.connections == 2
+
+
+def test_a_call_is_made_once_more_if_the_connection_was_closed(pool, server):
+    server.hangs_up = True
+    for _ in range(5):
+        assert not isinstance(call(pool, server), http_calls.CallFailed)
+
+
+def test_a_forgotten_connection_costs_one_call_and_is_given_up(pool, server):
+    """A device in between drops the bytes without a reset."""
+    call(pool, server)
+    server.is_silent = True
+    started = time.monotonic()
+    assert isinstance(call(pool, server), http_calls.CallFailed)
+    assert time.monotonic() - started < 2 * TIMEOUT_S
+    assert not isinstance(call(pool, server), http_calls.CallFailed)
+
+
+def test_failed_calls_leave_no_open_connection(pool, server):
+    call(pool, server)
+    server.is_silent = True
+    call(pool, server)
+    assert not any(pool._idle.values())
--- a/packages/hemlockreel/tests/forwarding/test_store_restores.py
+++ b/packages/hemlockreel/tests/forwarding/test_store_restores.py
@@ -334,3 +334,25 @@
     fleet.run(0.1)
     assert store_era.current(board) == 1
     assert active_deployment.current(board) is not None
+
+
+def test_differences_are_dropped_if_the_reader_knew_less():
+    """Another reader's change had reached this host, but not that reader."""
+    fleet = make(36)
+    host = next(at for at in fleet.hosts if at not in fleet.readers())
+    board = fleet.fabric.boards[host]
+    kind = store_fanout.ObjectKind.INSTANCES
+    known = board.state(store_fanout.State).read_states[kind]
+    restored = messages.ListRead(
+        sender=next(iter(fleet.readers())),
+        epoch=1,
+        kind=kind.value,
+        at=known.revision,
+        base=known.last_change_revision - 1,
+        age_s=0.0,
+        era=2,
+        base_era=1,
+    )
+    fleet.fabric.post(host, restored)
+    fleet.fabric.run(0.01)
+    assert board.state(store_fanout.State).read_states[kind].revision == 0
--- a/standins/hemlockreel_standins/forwarding_rig.py
+++ b/standins/hemlockreel_standins/forwarding_rig.py
@@ -206,6 +206,9 @@
     def set_observer(self, observe):
         """Ignores the observer, as tests post the events themselves."""
 
+    def close_idle(self):
+        """Does nothing, since there are no connections."""
+
     def prefill(self, instance, request, left_s, box):
         """Runs the prefill of a request."""
         self.sent.append(("prefill", instance.id, ""))
