Recognise a late second copy of a response on a kept connection

Change: a reservation's id is never given twice, so a response with an id that this connection has shown before closes the connection, and the call is made again on a new one.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/kept_connections.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/kept_connections.py
@@ -8,10 +8,16 @@
 * nothing more has arrived on it, such as a late second response;
 * it was idle for a short time, less than devices in between forget.
 
+A second copy may still arrive just after that check, in the place of the next
+response. It is recognised by what no two responses share, such as the id of a
+reservation, and the connection is given up. A refusal has no such mark: a
+second copy of one can at most hide a grant, which then expires unused.
+
 It serves calls that may be repeated only. One that fails without a response
 on a kept connection is made once more on a new one.
 """
 
+from collections.abc import Callable
 import contextlib
 import json
 import select
@@ -31,16 +37,21 @@
 
 
 class _Kept(NamedTuple):
-    """An idle connection and the time since when it is idle."""
+    """An idle connection, since when it is idle, and the marks seen on it."""
 
     opened: http_calls.OpenResponse
     idle_since: float
+    marks: frozenset[str]
 
 
 class Pool:
-    """Idle connections by a key that identifies one run of a server."""
+    """Idle connections by a key that identifies one run of a server.
+
+    ``mark(body)`` returns what no other response has, empty if there is none.
+    """
 
-    def __init__(self):
+    def __init__(self, mark: Callable[[Any], str]):
+        self._mark = mark
         self._lock = threading.Lock()
         self._idle: dict[Any, list[_Kept]] = {}
 
@@ -61,9 +72,9 @@
         kept = self._take(key)
         if kept is not None:
             opened = http_calls.send_again(
-                kept, method, path, data, sent, timeout_s
+                kept.opened, method, path, data, sent, timeout_s
             )
-            found = self._finish(key, opened)
+            found = self._finish(key, opened, kept.marks)
             if not isinstance(found, http_calls.CallFailed):
                 return found
             timeout_s = ends_at - clock.now()
@@ -92,7 +103,7 @@
         for each in old:
             each.opened.close()
 
-    def _take(self, key: Any) -> http_calls.OpenResponse | None:
+    def _take(self, key: Any) -> _Kept | None:
         """Returns a usable idle connection, ``None`` if there is none."""
         while True:
             with self._lock:
@@ -102,11 +113,14 @@
                 newest = kept.pop()
             idle_s = clock.now() - newest.idle_since
             if idle_s <= MAX_IDLE_S and not _has_input(newest.opened):
-                return newest.opened
+                return newest
             newest.opened.close()
 
     def _finish(
-        self, key: Any, opened: http_calls.OpenResponse | http_calls.CallFailed
+        self,
+        key: Any,
+        opened: http_calls.OpenResponse | http_calls.CallFailed,
+        marks: frozenset[str] = frozenset(),
     ) -> Response | http_calls.CallFailed:
         """Reads the response and keeps the connection if that is safe."""
         if isinstance(opened, http_calls.CallFailed):
@@ -114,20 +128,30 @@
         may_keep = False
         try:
             value = json.loads(opened.read_body() or b"{}")
+            mark = self._mark(value)
+            if mark in marks:
+                return http_calls.CallFailed(True, "a second copy arrived")
             may_keep = _is_reusable(opened)
         except (*http_calls.CALL_ERRORS, ValueError) as error:
             return http_calls.to_failure(error)
         finally:
-            if not (may_keep and self._keep(key, opened)):
+            if may_keep and mark:
+                marks |= {mark}
+            if not (may_keep and self._keep(key, opened, marks)):
                 opened.close()
         return opened.response.status, value, opened.response.headers
 
-    def _keep(self, key: Any, opened: http_calls.OpenResponse) -> bool:
+    def _keep(
+        self,
+        key: Any,
+        opened: http_calls.OpenResponse,
+        marks: frozenset[str],
+    ) -> bool:
         with self._lock:
             kept = self._idle.setdefault(key, [])
             if len(kept) >= MAX_KEPT:
                 return False
-            kept.append(_Kept(opened, clock.now()))
+            kept.append(_Kept(opened, clock.now(), marks))
             return True
 
 
