--- a/packages/hemlockreel/tests/forwarding/test_store_restores.py
+++ b/packages/hemlockreel/tests/forwarding/test_store_restores.py
@@ -356,3 +356,54 @@
     fleet.fabric.post(host, restored)
     fleet.fabric.run(0.01)
     assert board.state(store_fanout.State).read_states[kind].revision == 0
+
+
+def list_read(fleet, host, **changes):
+    """Returns a reader's broadcast about replicas that changes nothing."""
+    board = fleet.fabric.boards[host]
+    kind = store_fanout.ObjectKind.INSTANCES
+    known = board.state(store_fanout.State).read_states[kind]
+    fields = {
+        "sender": next(iter(fleet.readers())),
+        "epoch": 1,
+        "kind": kind.value,
+        "at": known.revision,
+        "base": known.last_change_revision,
+        "age_s": 0.0,
+        "era": known.era,
+    }
+    return messages.ListRead(**{**fields, **changes})
+
+
+def test_a_second_list_relative_to_the_earlier_era_is_not_applied():
+    """It leaves out what was lost and has been written again since."""
+    fleet = make(36)
+    host = next(at for at in fleet.hosts if at not in fleet.readers())
+    fleet.save()
+    fleet.restore()
+    fleet.run(SETTLED_S)
+    known = list_read(fleet, host)
+    late = list_read(
+        fleet, host, at=known.at + 5, base=0, base_era=1, gone=["d1"]
+    )
+    fleet.fabric.post(host, late)
+    fleet.fabric.run(3.0)
+    assert "d1" in usable_at(fleet, host)
+
+
+def test_a_full_list_tells_others_of_a_replica_that_has_returned():
+    """Its entry had lapsed, and is back before its grace is over.
+
+    The other hosts may have missed nothing but its return.
+    """
+    fleet = make(3)
+    board = fleet.fabric.boards[fleet.hosts[0]]
+    state = board.state(instances.State)
+    listed = tuple(state.instances.values())
+    assert store_fanout._diff_with_list(board, listed) == ((), ())
+    lapsed = instances.InstancesChanged((), ("d1",))
+    instances.apply_changes(state, lapsed, fleet.fabric.now)
+    assert store_fanout._diff_with_list(board, listed) == (
+        (state.instances["d1"],),
+        (),
+    )
