Order stage changes with patience, and repeat an unanswered order

The order got no answer and was carried out 13 s late; meanwhile a second engine was ordered as well, and the fleet decoded with two engines, then three, from 3 to 30 s.

Change: after an engine has left, the others keep their stages for 10 s, unless a stage has no engine at all. An order without a response is repeated to the same engine, where it takes effect once. A quarter of the engines is for prefill instead of a fifth, so two of six instead of one.

Result: four new tests; two of them fail on the code before for want of the constant, one orders a second engine there, one passes.

--- a/packages/hemlockreel/hemlockreel/forwarding/stage_assignment.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/stage_assignment.py
@@ -28,11 +28,18 @@
 
 CHECK_PERIOD_S = 0.5
 # Prefill takes a small part of the time of a request and none of the memory
-# that decode occupies.
-PREFILL_SHARE = 0.2
+# that decode occupies. But its queue must stay short during bursts: a prompt
+# that waits there is late, and its memory is reserved meanwhile.
+PREFILL_SHARE = 0.25
 # How long the set of engines must be unchanged before an order, as replicas
 # register over some seconds after a start.
 LIST_STABLE_S = 2.5
+# How long an engine that has left may be missing before another one takes its
+# stage. Engines that crash or are replaced are back in a few seconds, while a
+# change of stage takes the engine away for ``switch_s`` and often longer.
+REPLACEMENT_S = 10.0
+# How long an order without a response may still be carried out.
+LATE_ORDER_S = 30.0
 # From taking the lease to the first order: the previous holder may have given
 # an order within the platform's lease_ms of 3 s.
 LEASE_HANDOVER_S = 3.5
@@ -55,26 +62,30 @@
     """The state of the controller.
 
     ``engine_ids`` is the set of listed engines in the store's ``era``, both
-    unchanged since ``list_stable_since``. No order is given before
-    ``paused_until``, when the last change is over.
+    unchanged since ``list_stable_since``. The last time that an engine left
+    it is ``engine_left_at``. No order is given before ``paused_until``, when
+    the last change is over. ``unanswered`` is the last order, if it got no
+    response and may still be carried out.
     """
 
     def __init__(self):
         self.engine_ids: frozenset[str] = frozenset()
         self.era = 0
         self.list_stable_since = 0.0
+        self.engine_left_at = -math.inf
         self.lease_held_since: float | None = None
         self.next_check_at = 0.0
         self.paused_until = 0.0
         self.change: StageChange | None = None
+        self.unanswered: StageChange | None = None
         self.call_count = 0
 
 
 def prefill_count(engines: int) -> int:
     """Returns how many of ``engines`` engines are assigned to prefill.
 
-    >>> [prefill_count(count) for count in (1, 2, 5, 15)]
-    [0, 1, 1, 3]
+    >>> [prefill_count(count) for count in (1, 2, 5, 6, 15)]
+    [0, 1, 1, 2, 4]
     """
     if engines < 2:
         return 0
@@ -138,6 +149,8 @@
         if each.stage is not instances.Stage.PLAIN and each.id not in expiring
     )
     if ids != state.engine_ids:
+        if state.engine_ids - ids:
+            state.engine_left_at = now
         state.engine_ids = ids
         state.list_stable_since = now
 
@@ -164,6 +177,10 @@
             or now - state.list_stable_since < LIST_STABLE_S
         ):
             continue
+        if all(by_stage.values()) and (
+            now - state.engine_left_at < REPLACEMENT_S
+        ):
+            continue
         source, target = instances.Stage.PREFILL, instances.Stage.DECODE
         if present_prefill < wanted_prefill:
             source, target = target, source
@@ -173,13 +190,35 @@
             if not replica_pauses.is_paused(board, each, now)
         ]
         if callable_engines:
-            chosen = _least_used(board, callable_engines)
+            chosen = _unanswered_engine(
+                state, callable_engines, target, now
+            ) or _least_used(board, callable_engines)
             return StageChange(
                 chosen.id, chosen.address, target, now, chosen.born
             )
     return None
 
 
+def _unanswered_engine(
+    state: State,
+    engines: list[instances.Instance],
+    target: instances.Stage,
+    now: float,
+) -> instances.Instance | None:
+    """Returns the engine whose order to ``target`` may still be carried out.
+
+    A second engine would change its stage as well. A repeated order is
+    carried out once, as both expect the same number of accepted orders.
+    """
+    sent = state.unanswered
+    if sent is None or now - sent.requested_at > LATE_ORDER_S:
+        return None
+    for each in engines:
+        if (each.id, each.born, target) == (sent.id, sent.born, sent.stage):
+            return each
+    return None
+
+
 def _least_used(
     board: boards.Board, engines: list[instances.Instance]
 ) -> instances.Instance:
@@ -292,6 +331,7 @@
         "status": event.status,
     }
     yield actions.Log("stage_order_answered", fields)
+    state.unanswered = None if event.status else change
     if event.status not in (0, 200, 202):
         # The engine refused the order and keeps its stage.
         state.paused_until = now + LIST_UPDATE_S
--- a/packages/hemlockreel/tests/forwarding/test_stage_assignment.py
+++ b/packages/hemlockreel/tests/forwarding/test_stage_assignment.py
@@ -8,6 +8,7 @@
 
 from hemlockreel.forwarding import instances
 from hemlockreel.forwarding import ranking
+from hemlockreel.forwarding import replica_selection
 from hemlockreel.forwarding import stage_assignment
 
 P1 = rigs.engine("p1", "prefill")
@@ -110,3 +111,58 @@
     asked = ranking.CandidatesRequested("r", "lesar", instances.Stage.PREFILL)
     found = ranking.rank(holder.board, asked, holder.now)
     assert {each.id for each in found} == {"p1", "d1"}
+
+
+P3 = rigs.engine("p3", "prefill")
+DECODE = tuple(rigs.engine(f"d{number}", "decode") for number in range(1, 7))
+
+
+def test_an_engine_that_crashes_in_a_burst_takes_no_other_one_away():
+    """It is back before another one has changed its stage."""
+    holder = stage_rig.Holder(P1, P2, *DECODE)
+    holder.pass_time(10)
+    holder.post(instances.InstancesChanged((), ("p1",)))
+    holder.pass_time(stage_assignment.REPLACEMENT_S - 0.5)
+    assert holder.orders() == []
+    holder.post(instances.InstancesChanged((P3,), ()))
+    holder.pass_time(20)
+    assert holder.orders() == []
+
+
+def test_an_engine_that_is_lost_for_good_is_replaced():
+    holder = stage_rig.Holder(P1, P2, *DECODE)
+    holder.pass_time(10)
+    holder.post(instances.InstancesChanged((), ("p1",)))
+    holder.pass_time(stage_assignment.REPLACEMENT_S + 3)
+    assert [stage for _, stage in holder.orders()] == ["prefill"]
+
+
+class SilentHolder(stage_rig.Holder):
+    """Its orders get no response and are not carried out."""
+
+    def answer(self, action):
+        found = super().answer(action)
+        if action.operation == "orders":
+            return found._replace(status=0)
+        return found
+
+
+def test_an_order_without_a_response_is_repeated_to_the_same_engine():
+    """It may be carried out late, when a second one has changed as well."""
+    holder = SilentHolder(P1, P2, P3, D1, D2)
+    holder.pass_time(6)
+    ((first, _),) = holder.orders()
+    # The load of this host changes which engine is used least.
+    holder.post(replica_selection.SendStarted(first, 5000))
+    holder.pass_time(20)
+    assert len(holder.orders()) > 1
+    assert set(holder.orders()) == {(first, "decode")}
+
+
+def test_an_order_without_a_response_is_given_up_in_the_end():
+    holder = SilentHolder(P1, P2, P3, D1, D2)
+    holder.pass_time(6)
+    ((first, _),) = holder.orders()
+    holder.board.state(instances.State).instances.pop(first)
+    holder.pass_time(30)
+    assert {name for name, _ in holder.orders()} != {first}
