Let prompts wait for prefill engines only, within a budget by step

Decode engines read prompts whenever the prefill queue was predicted to be longer, at half the speed and between the tokens of all their streams. When the single prefill engine was overloaded in a burst, prompts waited there for 900 ms, were given up, and were read by the decode engine after all. The log now has each stream's longest pause, its replicas and whether it was prefilled apart.

Change: while a prefill replica is usable, no decode replica reads a prompt. Each round of reservations asks four replicas, so the calls of a waiting request don't grow with the fleet.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
@@ -87,7 +87,9 @@
             expected_output=demand.estimated_output,
             first_event_ms=round((first_at - self.job.arrived) * 1000),
             last_event=self._record.last_event_id,
-            read_by_decode=self._record.decode_prefills,
+            longest_pause_ms=round(self._record.longest_pause_s * 1000),
+            replicas=self._record.reached_ids,
+            prefilled=self._record.was_prefilled,
         )
 
     def _run(self) -> outcomes.Refused | None:
@@ -146,6 +148,9 @@
             return request_handler.late_refusal()
         if not self._record.decode_prefills:
             prefilled = remote_prefill.prefill(self, self._record)
+            if isinstance(prefilled, outcomes.Refused):
+                self._record.refused_runs = MAX_REFUSED_RUNS
+                return prefilled
         if self.box.stopped is not None:
             return outcomes.not_run(self.box.stopped.reason)
         if not self.is_usable(reserved.instance):
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/progress.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/progress.py
@@ -11,7 +11,8 @@
     ``events`` counts the events that were sent to the caller,
     ``last_event_id`` is the id of the last and ``first_event_at`` the time of
     the first one. ``reached_ids`` lists the decode replicas that received the
-    request, in order. ``deliveries`` counts the attempts that reached
+    request, in order. ``longest_pause_s`` is the longest time between two
+    events so far. ``deliveries`` counts the attempts that reached
     replicas of both stages; each one after the first takes a retry from the
     budget. ``refused_runs`` counts the runs that a replica refused.
     ``was_prefilled`` is set once a prefill replica has processed the prompt,
@@ -25,6 +26,8 @@
         self.last_event_id = last_id
         self.events = 0
         self.first_event_at: float | None = None
+        self.longest_pause_s = 0.0
+        self._last_event_at = 0.0
         self.reached_ids: tuple[str, ...] = ()
         self.deliveries = 0
         self.refused_runs = 0
@@ -33,3 +36,13 @@
         self.prefill_result: interfaces.PrefillResult | None = None
         self.prefill_result_at = 0.0
         self.prefill_instance: instances.Instance | None = None
+
+    def note_event(self, now: float) -> bool:
+        """Notes the time of an event; returns whether it is the first."""
+        if self.first_event_at is None:
+            self.first_event_at = self._last_event_at = now
+            return True
+        pause_s = now - self._last_event_at
+        self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self._last_event_at = now
+        return False
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/remote_prefill.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/remote_prefill.py
@@ -1,10 +1,14 @@
 """Runs the prefill of a prompt at a prefill replica.
 
 The decode replica then fetches the result instead of processing the prompt.
+It processes the prompt itself only if no prefill replica can, as all of its
+streams pause meanwhile. While prefill replicas are sound but have a long
+queue, a request that has not run is refused instead.
 """
 
 from hemlockreel import outcomes
 
+from hemlockreel.forwarding import first_event_times
 from hemlockreel.forwarding import instances
 from hemlockreel.forwarding import replica_selection
 
@@ -21,7 +25,7 @@
 
 def prefill(
     handler: request_handler.RequestHandler, record: progress.Progress
-) -> interfaces.PrefillResult | None:
+) -> interfaces.PrefillResult | outcomes.Refused | None:
     """Returns a prefill result; ``None`` if the decode replica must prefill.
 
     A fresh result that an earlier run could not use is returned again.
@@ -51,6 +55,8 @@
             return prefilled
         if handler.box.stopped is not None:
             return None
+        if prefilled.timed_out and not handler.sent:
+            return handler.overloaded("the prefill queues are too long")
         if prefilled.instance_mismatch:
             handler.post(replica_selection.InstanceMismatch(instance.id))
         handler.log(
@@ -68,8 +74,7 @@
     tokens = handler.job.request.demand.prompt
     handler.post(replica_selection.SendStarted(instance.id, tokens))
     started = clock.now()
-    # A lost response must not use up all the time of the request.
-    wait_s = min(left_s, handler.job.route.objective_s)
+    wait_s = min(left_s, _wait_s(handler, started))
     prefilled = handler.tools.backends.prefill(
         instance, handler.job.request, wait_s, handler.box
     )
@@ -95,6 +100,19 @@
     return prefilled
 
 
+def _wait_s(handler: request_handler.RequestHandler, now: float) -> float:
+    """Returns how long to wait for a prefill that starts now.
+
+    A lost response must not use up all the time of the request.
+    """
+    objective_s = handler.job.route.objective_s
+    if handler.sent:
+        return objective_s
+    arrived = handler.job.arrived
+    until = first_event_times.prefill_until(now, arrived, objective_s)
+    return until - now
+
+
 def free_result(
     handler: request_handler.RequestHandler, record: progress.Progress
 ) -> None:
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
@@ -25,6 +25,10 @@
 RESPONSE_MARGIN_S = 0.05  # so that a refusal arrives before the time limit
 LOOP_TIMEOUT_S = 1.0  # for a reply of the loop, which takes about 1 ms
 RETRY_SOON_S = 0.1  # for cases where other replicas are likely free
+# Replicas are overloaded for the length of a burst, some seconds. A caller
+# that retries sooner takes memory from others or fails for good. Callers wait
+# at most a third of their remaining time before a retry.
+RETRY_AFTER_SHARE = 1 / 3
 # Of the latency objective, or of the route's timeout if that is shorter. With
 # less time than this left, no replica can respond before the caller gives up,
 # and the platform doesn't count the request as offered.
@@ -184,6 +188,14 @@
             )
         )
 
+    def overloaded(self, detail: str) -> outcomes.Refused:
+        """Returns the refusal of a request that replicas have no room for."""
+        return outcomes.not_run(
+            outcomes.Reason.OVERLOADED,
+            RETRY_AFTER_SHARE * max(0.0, self.left_s()),
+            detail,
+        )
+
     def take_retry(self) -> bool:
         """Takes one retry from the budget; false if it is used up."""
         self.post(
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/reservation.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/reservation.py
@@ -9,6 +9,7 @@
 
 from hemlockreel import outcomes
 
+from hemlockreel.forwarding import first_event_times
 from hemlockreel.forwarding import instances
 from hemlockreel.forwarding import replica_selection
 
@@ -17,15 +18,11 @@
 from . import progress
 from . import request_handler
 
-# Of the latency objective: how long a request waits for memory. A run that
-# starts later misses the objective, as the prefill follows.
-MAX_WAIT_SHARE = 0.5
 FIRST_PAUSE_S = 0.03  # between rounds of reservations; doubles
 MAX_PAUSE_S = 0.12
-# Memory is short for the length of a burst, some seconds. A caller that
-# retries sooner takes memory from others or fails for good. Callers wait at
-# most a third of their remaining time before a retry.
-RETRY_AFTER_SHARE = 1 / 3
+# Replicas that are asked in each round. While memory is short, asking all of
+# a large fleet takes longer than the pause and finds no more of it.
+MAX_ASKED = 4
 
 
 class Reservation(NamedTuple):
@@ -44,7 +41,7 @@
     pause_s = FIRST_PAUSE_S
     again = handler.sent or record.refused_runs
     started = clock.now() if again else job.arrived
-    until = started + MAX_WAIT_SHARE * job.route.objective_s
+    until = first_event_times.reserve_until(started, job.route.objective_s)
     while True:
         found = handler.find_candidates(
             instances.Stage.DECODE,
@@ -64,7 +61,7 @@
                 request_handler.RETRY_SOON_S,
                 "the replicas that this attempt may go to are not usable",
             )
-        for instance in eligible:
+        for instance in eligible[:MAX_ASKED]:
             reservation_id = _try_reserve(handler, instance, tokens)
             if reservation_id is not None:
                 return Reservation(instance, reservation_id, tokens)
@@ -74,10 +71,8 @@
         if handler.is_late(left_s):
             return request_handler.late_refusal()
         if clock.now() + pause_s > until:
-            return outcomes.not_run(
-                outcomes.Reason.OVERLOADED,
-                RETRY_AFTER_SHARE * left_s,
-                f"no decode replica has room for {tokens} tokens",
+            return handler.overloaded(
+                f"no decode replica has room for {tokens} tokens"
             )
         time.sleep(pause_s)
         if handler.box.stopped is not None:
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/stream_forwarding.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/stream_forwarding.py
@@ -76,8 +76,7 @@
         if not data:
             break
         whole = splitter.feed(data)
-        if record.first_event_at is None and whole:
-            record.first_event_at = clock.now()
+        if whole and record.note_event(clock.now()):
             first_s = record.first_event_at - handler.job.arrived
             handler.tools.daemon.metrics.first_token.observe(first_s)
         if len(splitter.rest) > event_bytes:
--- a/packages/hemlockreel-daemon/tests/forwarding/test_generation_memory_shortage.py
+++ b/packages/hemlockreel-daemon/tests/forwarding/test_generation_memory_shortage.py
@@ -46,3 +46,24 @@
     )
     assert rig.handle_request().status == 200
     assert ("decode", "d2", "p1:1/handle") in rig.backends.sent
+
+
+def test_the_calls_of_a_waiting_request_do_not_grow_with_the_fleet():
+    """Each host would ask each replica in each round."""
+    counts = []
+    for size in (8, 80):
+        decode = [rigs.engine(f"d{each}", "decode") for each in range(size)]
+        rig = rigs.Rig(rigs.engine("p1", "prefill"), *decode)
+        rig.backends.on_hold = lambda *_: rigs.make_send_failure("no room")
+        assert rig.handle_request().status == 503
+        counts.append(rig.backends.count("hold"))
+    assert max(counts) <= 1.25 * min(counts)
+
+
+def test_each_round_asks_other_replicas():
+    decode = [rigs.engine(f"d{each}", "decode") for each in range(12)]
+    rig = rigs.Rig(rigs.engine("p1", "prefill"), *decode)
+    rig.backends.on_hold = lambda *_: rigs.make_send_failure("no room")
+    rig.handle_request()
+    asked = [name for kind, name, _ in rig.backends.sent if kind == "hold"]
+    assert set(asked) == {each.id for each in decode}
--- a/packages/hemlockreel/hemlockreel/forwarding/prefill_times.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/prefill_times.py
@@ -2,19 +2,14 @@
 
 A prefill replica processes the prompts of all hosts one after the other. A
 host sees the queue there only in the time that its own prompts took. A decode
-replica can do the prefill too, at a fraction of the speed, and is the better
-choice while the prefill replicas have a queue.
+replica could do the prefill too, but at half the speed and between the tokens
+of its streams: all of them would pause for longer than callers accept. So a
+prompt waits for a prefill replica as long as there is one.
 """
 
 import math
 from typing import NamedTuple
 
-DECODE_SPEED_RATIO = (
-    0.5  # relative to a prefill replica, according to the platform
-)
-# A decode replica interleaves the prefill with its other requests and delays
-# them, so its time counts this much more.
-DECODE_MARGIN = 1.25
 QUEUE_HALF_LIFE_S = 1.0  # assumed half-life of a queue
 SPEED_DECAY = 0.98  # of the highest observed speed, at each prompt
 DEFAULT_TOKENS_PER_S = 20_000.0  # until the first prompt was processed
@@ -64,19 +59,6 @@
     return (tokens + ahead) / speed + observed.queue_s * queue_share
 
 
-def predict_decode_s(state: State, tokens: int) -> float:
-    """Returns the predicted seconds of a prefill at a decode replica."""
-    speed = max(
-        (observed.speed for observed in state.observations.values()),
-        default=0.0,
-    )
-    return (
-        DECODE_MARGIN
-        * tokens
-        / (DECODE_SPEED_RATIO * (speed or DEFAULT_TOKENS_PER_S))
-    )
-
-
 def forget(state: State, id: str) -> None:
     """Drops the observation of a removed replica."""
     state.observations.pop(id, None)
--- a/packages/hemlockreel/hemlockreel/forwarding/ranking.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/ranking.py
@@ -91,32 +91,9 @@
             board.rng.random(),
         )
 
-    if event.stage is instances.Stage.PREFILL:
-        found = _faster_than_decode(board, found, event, now)
     return sorted(found, key=key)
 
 
-def _faster_than_decode(
-    board: boards.Board,
-    found: list[instances.Instance],
-    event: CandidatesRequested,
-    now: float,
-) -> list[instances.Instance]:
-    """Returns the prefill replicas that finish no later than a decode one."""
-    known = board.state(instances.State)
-    decode = instances.Stage.DECODE
-    if not instances.usable(known, event.service, now, decode):
-        return found
-    decode_s = prefill_times.predict_decode_s(
-        board.state(prefill_times.State), event.tokens
-    )
-    return [
-        each
-        for each in found
-        if _prefill_s(board, each, event, now) <= decode_s
-    ]
-
-
 def _prefill_s(
     board: boards.Board,
     each: instances.Instance,
