Keep control connections for as long as the server allows

Cause: connections were kept for 0.25 s at most, though replicas state a time of 10 s. So a host that seldom uses a replica connected for nearly each call.

Change: a connection may be idle for 0.4 of the time that the server states, at most 4 s, and 0.25 s if it states none. A kept connection without a response costs half of the call's timeout, then the call is made on a new one, and all idle connections are closed, as they go silent together.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/kept_connections.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/kept_connections.py
@@ -1,4 +1,4 @@
-"""Connections that stay open for a moment between short calls.
+"""Connections that stay open for a while between short calls.
 
 A request that waits for memory asks the same replicas again every few dozen
 milliseconds, and a new connection for each of these calls costs a round trip
@@ -6,7 +6,7 @@
 
 * its last response was complete, of a stated length, and allowed it;
 * nothing more has arrived on it, such as a late second response;
-* it was idle for a short time, less than devices in between forget.
+* it was idle for much less time than the server states that it keeps it.
 
 A second copy may still arrive just after that check, in the place of the next
 response. It is recognised by what no two responses share, such as the id of a
@@ -14,12 +14,15 @@
 second copy of one can at most hide a grant, which then expires unused.
 
 It serves calls that may be repeated only. One that fails without a response
-on a kept connection is made once more on a new one.
+on a kept connection is made once more on a new one. A kept connection without
+a response may have gone silent, and then others have as well, so all that are
+idle are closed.
 """
 
 from collections.abc import Callable
 import contextlib
 import json
+import re
 import select
 import threading
 from typing import Any
@@ -28,19 +31,24 @@
 from . import clock
 from . import http_calls
 
-# Replicas and devices in between drop connections that were idle for 0.3 s or
-# more. A waiting request asks again after at most 0.12 s.
-MAX_IDLE_S = 0.25
+# Used if the server states no time. A waiting request asks again after at
+# most 0.12 s.
+DEFAULT_IDLE_S = 0.25
+IDLE_SHARE = 0.4  # of the time that the server states
+# Keep-alive probes end a silent connection after 3 s.
+MAX_IDLE_S = 4.0
+# Of a call's timeout: the longest wait for a response on a kept connection.
+KEPT_WAIT_SHARE = 0.5
 MAX_KEPT = 2  # for each key; more would only serve simultaneous bursts
 
 Response = tuple[int, dict[str, Any], Any]
 
 
 class _Kept(NamedTuple):
-    """An idle connection, since when it is idle, and the marks seen on it."""
+    """An idle connection, until when to use it, and the marks seen on it."""
 
     opened: http_calls.OpenResponse
-    idle_since: float
+    usable_until: float
     marks: frozenset[str]
 
 
@@ -71,12 +79,15 @@
         ends_at = clock.now() + timeout_s
         kept = self._take(key)
         if kept is not None:
+            wait_s = KEPT_WAIT_SHARE * timeout_s
             opened = http_calls.send_again(
-                kept.opened, method, path, data, sent, timeout_s
+                kept.opened, method, path, data, sent, wait_s
             )
             found = self._finish(key, opened, kept.marks)
             if not isinstance(found, http_calls.CallFailed):
                 return found
+            if found.timed_out:
+                self._close_all()
             timeout_s = ends_at - clock.now()
             if timeout_s <= 0:
                 return found
@@ -87,22 +98,29 @@
 
     def close_idle(self) -> None:
         """Closes the connections that were idle for too long."""
-        latest = clock.now() - MAX_IDLE_S
+        now = clock.now()
         with self._lock:
             old = [
                 each
                 for kept in self._idle.values()
                 for each in kept
-                if each.idle_since < latest
+                if each.usable_until < now
             ]
             self._idle = {
                 key: left
                 for key, kept in self._idle.items()
-                if (left := [e for e in kept if e.idle_since >= latest])
+                if (left := [e for e in kept if e.usable_until >= now])
             }
         for each in old:
             each.opened.close()
 
+    def _close_all(self) -> None:
+        with self._lock:
+            idle, self._idle = self._idle, {}
+        for kept in idle.values():
+            for each in kept:
+                each.opened.close()
+
     def _take(self, key: Any) -> _Kept | None:
         """Returns a usable idle connection, ``None`` if there is none."""
         while True:
@@ -111,8 +129,9 @@
                 if not kept:
                     return None
                 newest = kept.pop()
-            idle_s = clock.now() - newest.idle_since
-            if idle_s <= MAX_IDLE_S and not _has_input(newest.opened):
+            if clock.now() <= newest.usable_until and not _has_input(
+                newest.opened
+            ):
                 return newest
             newest.opened.close()
 
@@ -151,10 +170,20 @@
             kept = self._idle.setdefault(key, [])
             if len(kept) >= MAX_KEPT:
                 return False
-            kept.append(_Kept(opened, clock.now(), marks))
+            until = clock.now() + _max_idle_s(opened)
+            kept.append(_Kept(opened, until, marks))
             return True
 
 
+def _max_idle_s(opened: http_calls.OpenResponse) -> float:
+    """Returns for how long a connection may be idle before its next use."""
+    stated = opened.response.headers.get("Keep-Alive", "")
+    found = re.search(r"\btimeout=(\d{1,6})\b", stated)
+    if found is None:
+        return DEFAULT_IDLE_S
+    return min(IDLE_SHARE * int(found[1]), MAX_IDLE_S)
+
+
 def _is_reusable(opened: http_calls.OpenResponse) -> bool:
     """Returns whether the server keeps the connection after a response."""
     response = opened.response
