Count engines that are excluded for a moment, and ignore outdated hosts

Change: the message says which stage the sender's list shows, and a host whose list shows another one ignores it. The holder counts engines that are excluded for a moment, and takes one that accepted an order for one of its new stage until the list shows it.

--- a/packages/hemlockreel/hemlockreel/forwarding/instance_updates.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/instance_updates.py
@@ -61,9 +61,18 @@
 def _replica_changing(
     event: messages.ReplicaChanging, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
+    """Excludes a replica that changes its stage, if the sender may know it.
+
+    A host without news from the store takes a replica that has changed for
+    one that is about to.
+    """
     state = board.state(instances.State)
-    instances.mark_changing(state, event.replica, now + event.for_s)
+    known = state.instances.get(event.replica)
     fields = {"replica": event.replica, "told_by": event.sender}
+    if known is not None and event.stage not in ("", known.stage.value):
+        yield actions.Log("replica_changed_before", fields)
+        return
+    instances.mark_changing(state, event.replica, now + event.for_s)
     yield actions.Log("replica_changing", fields)
 
 
--- a/packages/hemlockreel/hemlockreel/forwarding/instances.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/instances.py
@@ -107,17 +107,28 @@
         self.withheld: dict[str, tuple[Instance, float]] = {}
 
 
-def usable(
-    state: State, service: str, now: float, stage: Stage | None = None
-) -> list[Instance]:
-    """Returns the replicas of ``service`` that may get new requests."""
+def remaining(state: State, service: str, now: float) -> list[Instance]:
+    """Returns the replicas of ``service`` that don't leave.
+
+    Some of them may be changing their stage.
+    """
     return [
         each
         for each in state.instances.values()
         if each.service == service
         and not each.draining
-        and (stage is None or each.stage is stage)
         and state.lapsed_until.get(each.id, now) >= now
+    ]
+
+
+def usable(
+    state: State, service: str, now: float, stage: Stage | None = None
+) -> list[Instance]:
+    """Returns the replicas of ``service`` that may get new requests."""
+    return [
+        each
+        for each in remaining(state, service, now)
+        if (stage is None or each.stage is stage)
         and state.changing_until.get(each.id, now) <= now
     ]
 
--- a/packages/hemlockreel/hemlockreel/forwarding/replica_selection.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/replica_selection.py
@@ -262,11 +262,16 @@
     state = board.state(instances.State)
     if state.changing_until.get(event.id, now) > now:
         return
+    known = state.instances.get(event.id)
+    stage = "" if known is None else known.stage.value
     instances.mark_changing(state, event.id, now + MISMATCH_EXCLUSION_S)
     fields = {"replica": event.id, "for_s": MISMATCH_EXCLUSION_S}
     yield actions.Log("replica_misplaced", fields)
     changing = messages.ReplicaChanging(
-        **board.sender_fields, replica=event.id, for_s=MISMATCH_EXCLUSION_S
+        **board.sender_fields,
+        replica=event.id,
+        for_s=MISMATCH_EXCLUSION_S,
+        stage=stage,
     )
     yield from membership.broadcast(board, changing)
 
--- a/packages/hemlockreel/hemlockreel/forwarding/stage_assignment.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/stage_assignment.py
@@ -38,7 +38,8 @@
 # stage. Engines that crash or are replaced are back in a few seconds, while a
 # change of stage takes the engine away for ``switch_s`` and often longer.
 REPLACEMENT_S = 10.0
-# How long an order without a response may still be carried out.
+# From an order until its effect is listed, or for one without a response as
+# long as it may still be carried out.
 LATE_ORDER_S = 30.0
 # From taking the lease to the first order: the previous holder may have given
 # an order within the platform's lease_ms of 3 s.
@@ -64,8 +65,8 @@
     ``engine_ids`` is the set of listed engines in the store's ``era``, both
     unchanged since ``list_stable_since``. The last time that an engine left
     it is ``engine_left_at``. No order is given before ``paused_until``, when
-    the last change is over. ``unanswered`` is the last order, if it got no
-    response and may still be carried out.
+    the last change is over. ``accepted`` and ``unanswered`` are the last
+    order, if the engine accepted it or didn't respond.
     """
 
     def __init__(self):
@@ -77,6 +78,7 @@
         self.next_check_at = 0.0
         self.paused_until = 0.0
         self.change: StageChange | None = None
+        self.accepted: StageChange | None = None
         self.unanswered: StageChange | None = None
         self.call_count = 0
 
@@ -165,9 +167,13 @@
     for service in found.services.values():
         if service.engine is None:
             continue
-        engines = instances.usable(known, service.name, now)
+        # An engine that gets no requests for a moment, because a host found
+        # it changing, still counts.
+        engines = instances.remaining(known, service.name, now)
         by_stage = {
-            stage: [each for each in engines if each.stage is stage]
+            stage: [
+                each for each in engines if _stage(state, each, now) is stage
+            ]
             for stage in (instances.Stage.PREFILL, instances.Stage.DECODE)
         }
         wanted_prefill = prefill_count(len(engines))
@@ -187,10 +193,11 @@
         callable_engines = [
             each
             for each in by_stage[source]
-            if not replica_pauses.is_paused(board, each, now)
+            if known.changing_until.get(each.id, now) <= now
+            and not replica_pauses.is_paused(board, each, now)
         ]
         if callable_engines:
-            chosen = _unanswered_engine(
+            chosen = _engine_without_response(
                 state, callable_engines, target, now
             ) or _least_used(board, callable_engines)
             return StageChange(
@@ -199,26 +206,49 @@
     return None
 
 
-def _unanswered_engine(
+def _stage(
+    state: State, engine: instances.Instance, now: float
+) -> instances.Stage:
+    """Returns the stage of an engine, the new one if it was ordered to change.
+
+    The list shows the change when the running work has ended.
+    """
+    sent = state.accepted
+    if sent is not None and _concerns(sent, engine, now):
+        return sent.stage
+    return engine.stage
+
+
+def _engine_without_response(
     state: State,
     engines: list[instances.Instance],
     target: instances.Stage,
     now: float,
 ) -> instances.Instance | None:
-    """Returns the engine whose order to ``target`` may still be carried out.
+    """Returns the engine whose order to ``target`` got no response.
 
-    A second engine would change its stage as well. A repeated order is
-    carried out once, as both expect the same number of accepted orders.
+    It may be carried out late, and a second engine would change its stage as
+    well. A repeated order is carried out once, as both expect the same number
+    of accepted orders.
     """
     sent = state.unanswered
-    if sent is None or now - sent.requested_at > LATE_ORDER_S:
+    if sent is None or sent.stage is not target:
         return None
     for each in engines:
-        if (each.id, each.born, target) == (sent.id, sent.born, sent.stage):
+        if _concerns(sent, each, now):
             return each
     return None
 
 
+def _concerns(
+    sent: StageChange, engine: instances.Instance, now: float
+) -> bool:
+    return now - sent.requested_at <= LATE_ORDER_S and (
+        engine.id,
+        engine.born,
+    ) == (sent.id, sent.born)
+
+
 def _least_used(
     board: boards.Board, engines: list[instances.Instance]
 ) -> instances.Instance:
@@ -331,6 +361,7 @@
         "status": event.status,
     }
     yield actions.Log("stage_order_answered", fields)
+    state.accepted = change if event.status in (200, 202) else None
     state.unanswered = None if event.status else change
     if event.status not in (0, 200, 202):
         # The engine refused the order and keeps its stage.
--- a/packages/hemlockreel/hemlockreel/messages/region.py
+++ b/packages/hemlockreel/hemlockreel/messages/region.py
@@ -39,11 +39,13 @@
     """A replica was ordered to change its stage or has confirmed the change.
 
     ``replica`` is an id. The replica gets no new requests for ``for_s``, as
-    its entry in the list still shows the previous stage.
+    its entry in the list still shows the previous ``stage``, which is empty
+    if the sender doesn't know it.
     """
 
     replica: str
     for_s: float
+    stage: str = ""
 
 
 class ReplicaLeaving(shared.Message):
--- a/packages/hemlockreel/tests/forwarding/test_stage_assignment.py
+++ b/packages/hemlockreel/tests/forwarding/test_stage_assignment.py
@@ -159,6 +159,83 @@
     assert set(holder.orders()) == {(first, "decode")}
 
 
+class SlowHolder(stage_rig.Holder):
+    """Its engines accept orders and report a change before the list."""
+
+    def answer(self, action):
+        found = super().answer(action)
+        ordered = dict(self.orders())
+        if action.operation == "load" and action.instance in ordered:
+            stage = ordered[action.instance]
+            return found._replace(body={**found.body, "stage": stage})
+        return found
+
+
+def test_no_second_engine_changes_while_the_first_ends_its_work():
+    """The list may show the change long after ``switch_s``."""
+    holder = SlowHolder(P1, P2, P3, *DECODE[:3])
+    holder.pass_time(6)
+    ((first, _),) = holder.orders()
+    holder.post(replica_selection.SendStarted(first, 5000))
+    holder.pass_time(stage_assignment.LATE_ORDER_S - 6)
+    assert [stage for _, stage in holder.orders()] == ["decode"]
+
+
+def test_a_replica_excluded_for_a_moment_takes_no_other_one_away():
+    """A host without news from the store takes it for one that changes."""
+    holder = stage_rig.Holder(P1, P2, *DECODE[:4])
+    holder.pass_time(10)
+    for _ in range(5):
+        holder.post(
+            messages.ReplicaChanging(
+                sender="127.0.0.1:9001", epoch=1, replica="d1", for_s=2.0
+            )
+        )
+        holder.pass_time(2)
+    assert holder.orders() == []
+
+
+def test_a_host_with_an_outdated_list_excludes_no_replica():
+    holder = stage_rig.Holder(P1, D1, D2)
+    holder.post(
+        messages.ReplicaChanging(
+            sender="127.0.0.1:9001",
+            epoch=1,
+            replica="d1",
+            for_s=2.0,
+            stage="prefill",
+        )
+    )
+    asked = ranking.CandidatesRequested("r", "lesar", instances.Stage.DECODE)
+    found = ranking.rank(holder.board, asked, holder.now)
+    assert {each.id for each in found} == {"d1", "d2"}
+
+
+def test_a_mismatch_is_told_with_the_stage_that_was_listed():
+    holder = stage_rig.Holder(P1, D1, D2)
+    update = messages.MemberUpdate(
+        host="127.0.0.1:9001",
+        zone="a",
+        region="midt-norge",
+        callers="c",
+        epoch=1,
+        incarnation=0,
+        state=precedence.ALIVE,
+        draining=True,
+    )
+    holder.post(
+        messages.Gossip(sender="127.0.0.1:9001", epoch=1, updates=[update])
+    )
+    holder.post(replica_selection.InstanceMismatch("d1"))
+    (told,) = [
+        action.message
+        for action in holder.seen
+        if isinstance(action, actions.Send)
+        and isinstance(action.message, messages.ReplicaChanging)
+    ]
+    assert (told.replica, told.stage) == ("d1", "decode")
+
+
 def test_an_order_without_a_response_is_given_up_in_the_end():
     holder = SilentHolder(P1, P2, P3, D1, D2)
     holder.pass_time(6)
