Exit from a planned stop only when no request is on its way

Cause: a host that stops exited as soon as no request was in progress.

Change: the host exits 0.3 s after the last request was received, or at the end of the grace as before.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
@@ -90,6 +90,7 @@
         backends.set_observer(self._observe_replica)
         self._tools = request_handler.Tools(self.daemon, backends, callers)
         self._active = 0
+        self._received_at = clock.now()
         self._lock = threading.Lock()
         self._server = exchanges.Server(
             found.listen.callers, self.respond, MIN_WORKERS, MAX_WORKERS
@@ -129,7 +130,8 @@
             self._server.grow_if_busy()
             self._tools.backends.close_idle()
             if self.phase.stopping:
-                loop.post(events.CallersCounted(self._active))
+                quiet_s = clock.now() - self._received_at
+                loop.post(events.CallersCounted(self._active, quiet_s))
 
     def _observe_replica(self, notice: interfaces.Notice) -> None:
         id, born = notice.id, notice.born
@@ -184,6 +186,7 @@
     def _count_active(self) -> Any:
         with self._lock:
             self._active += 1
+            self._received_at = clock.now()
         self.daemon.metrics.in_flight.inc()
         try:
             yield
--- a/packages/hemlockreel/hemlockreel/events.py
+++ b/packages/hemlockreel/hemlockreel/events.py
@@ -4,6 +4,7 @@
 handler is the part of the daemon that serves one caller's request.
 """
 
+import math
 from typing import Any
 from typing import NamedTuple
 
@@ -106,10 +107,12 @@
 class CallersCounted(NamedTuple):
     """The number of callers' requests in progress.
 
-    It is sent while the daemon accepts no new ones.
+    It is sent while the daemon accepts no new ones. The last one was received
+    ``quiet_s`` ago.
     """
 
     active: int
+    quiet_s: float = math.inf
 
 
 class HostListRead(NamedTuple):
--- a/packages/hemlockreel/hemlockreel/forwarding/graceful_shutdown.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/graceful_shutdown.py
@@ -22,6 +22,9 @@
 STREAM_CUTOFF_SHARE = 0.35  # a stream that starts later may not finish
 REQUEST_CUTOFF_SHARE = 0.7  # callers have moved to other hosts by then
 EXIT_SHARE = 0.95  # requests still active are cut off
+# A host exits when no request has arrived for this long. One that was sent
+# just before its caller heard of the stop may still be on its way.
+QUIET_S = 0.3
 
 
 class State:
@@ -91,7 +94,8 @@
     if state.has_left or phase(board, now).accepts_requests:
         return
     is_grace_over = now >= state.requested_at + EXIT_SHARE * state.grace_s
-    if event.active and not is_grace_over:
+    is_quiet = not event.active and event.quiet_s >= QUIET_S
+    if not is_quiet and not is_grace_over:
         return
     state.has_left = True
     if event.active:
--- a/packages/hemlockreel/tests/forwarding/test_graceful_shutdown.py
+++ b/packages/hemlockreel/tests/forwarding/test_graceful_shutdown.py
@@ -46,6 +46,21 @@
     assert actions.Exit() in holder.seen
 
 
+def test_requests_that_were_just_sent_are_still_answered(holder):
+    """Callers that were refused with others have requests on the way."""
+    holder.now = 6.0
+    holder.post(events.CallersCounted(0, 0.1))
+    assert actions.Exit() not in holder.seen
+    holder.post(events.CallersCounted(0, 0.4))
+    assert actions.Exit() in holder.seen
+
+
+def test_requests_that_never_end_do_not_delay_the_exit(holder):
+    holder.now = 7.7
+    holder.post(events.CallersCounted(0, 0.0))
+    assert actions.Exit() in holder.seen
+
+
 def test_the_process_exits_before_it_is_killed(holder):
     holder.now = 7.7
     holder.post(events.CallersCounted(3))
--- a/standins/hemlockreel_standins/platform_replica.py
+++ b/standins/hemlockreel_standins/platform_replica.py
@@ -12,6 +12,7 @@
 import itertools
 import json
 import socket
+import struct
 import threading
 import time
 from typing import Any
@@ -118,6 +119,11 @@
                     sock.sendall(self._add_headers(self._prefill()))
                 else:
                     self._answer(sock, arrival)
+            except ConnectionResetError:
+                self.closed_early.set()
+                # The system then sends a reset when the socket is closed.
+                linger = struct.pack("ii", 1, 0)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             except OSError:
                 self.closed_early.set()
 
@@ -279,6 +285,18 @@
         yield from self._stream_events(arrival, STREAM_EVENTS - 2)
         yield encode_chunk(b"id: 4\nda")
 
+    def _answer_stalled_stream(self, arrival: Arrival) -> Iterable[bytes]:
+        """Sends a byte of the second event now and then, without end."""
+        yield from self._stream_events(arrival, 1)
+        while True:
+            time.sleep(0.05)
+            yield encode_chunk(b":")
+
+    def _answer_reset(self, arrival: Arrival) -> Iterable[bytes]:
+        """Resets the connection within a body without a length."""
+        yield self._head(arrival, "Connection: close") + self.body[:-3]
+        raise ConnectionResetError
+
     def _stream_events(self, arrival: Arrival, last: int) -> Iterable[bytes]:
         yield self._head(
             arrival,
