--- a/standins/hemlockreel_standins/feed_rig.py
+++ b/standins/hemlockreel_standins/feed_rig.py
@@ -53,9 +53,9 @@
     """Hosts that read the store as :mod:`store_fanout` plans it.
 
     The store also keeps the lease of the controller. ``present`` are the
-    replicas that run, whatever the store shows.
-    ``calls`` counts the calls to the store by kind. The store sends no
-    responses to the hosts in ``unreachable``.
+    replicas that run, whatever the store shows, ``services`` those of the
+    deployment. ``calls`` counts the calls to the store by kind. The store
+    sends no responses to the hosts in ``unreachable``.
     """
 
     def __init__(self, count: int, seed: int = 1):
@@ -67,6 +67,7 @@
         self.changes: list[Change] = []
         self.calls = dict.fromkeys(store_fanout.ObjectKind, 0)
         self.unreachable: set[str] = set()
+        self.services: dict[str, deployments.Service] = {}
         self.era = 1
         self.lease: dict[str, Any] | None = None
         self.present: dict[str, instances.Instance] = {}
@@ -281,7 +282,7 @@
         if kind is store_fanout.ObjectKind.DEPLOYMENT:
             if self.version_at <= found.since:
                 return []
-            made = deployments.Deployment(self.version, (), {})
+            made = deployments.Deployment(self.version, (), self.services)
             return [
                 active_deployment.DeploymentRead(made),
                 store_fanout.StoreRead(
