Log runs that break off, with the shared parts of their prompts

Cause of this change: the hosts' logs could not tell a crashing part from failed engines, from repeated attempts or from full memory; no line named the parts of a prompt. Change: requests are decoded with the ids of their shared parts, generation_ended names them, and run_broken says which engine broke a response off, how long after its head and at which event.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
@@ -11,6 +11,7 @@
 from hemlockreel.forwarding import instances
 from hemlockreel.forwarding import replica_selection
 
+from .. import clock
 from . import interfaces
 from . import progress
 from . import remote_prefill
@@ -90,6 +91,7 @@
             longest_pause_ms=round(self._record.longest_pause_s * 1000),
             replicas=self._record.reached_ids,
             prefilled=self._record.was_prefilled,
+            parts=demand.shared_parts,
         )
 
     def _run(self) -> outcomes.Refused | None:
@@ -175,10 +177,31 @@
             self.post(
                 replica_selection.PrefillResultUsed(prefilled.instance, True)
             )
+        started = clock.now()
         refused = stream_forwarding.forward_response(self, self._record, head)
         result.succeeded = refused is None
+        if refused is not None and self.box.stopped is None:
+            written_s = clock.now() - started
+            self._log_broken_run(reserved.instance, refused.detail, written_s)
         return refused
 
+    def _log_broken_run(
+        self,
+        instance: instances.Instance,
+        detail: str,
+        written_s: float,
+    ) -> None:
+        """Logs a run that broke off ``written_s`` after its head."""
+        self.log(
+            "run_broken",
+            replica=instance.id,
+            born=instance.born,
+            written_ms=round(written_s * 1000),
+            last_event=self._record.last_event_id,
+            detail=detail,
+            parts=self.job.request.demand.shared_parts,
+        )
+
     def _take_retry_if_sent(self) -> bool:
         """Takes a retry from the budget, unless this is the first attempt."""
         return not self._record.deliveries or self.take_retry()
@@ -216,6 +239,7 @@
             result.succeeded = False
             self._record.prefill_result = None
             self._note_sent(instance)
+            self._log_broken_run(instance, found.detail, 0.0)
         elif found.pause_s:
             # The replica is overloaded, which says nothing about its list
             # entry or the prefill result.
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/interfaces.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/interfaces.py
@@ -32,12 +32,15 @@
     """The size of a request for a model, in tokens.
 
     ``max_output`` limits the output. ``estimated_output`` is the caller's
-    estimate, or the limit if it gave none.
+    estimate, or the limit if it gave none. ``shared_parts`` are the ids of
+    the prompt's parts that other requests may have too, in order: all but the
+    last, which belongs to this request or its session.
     """
 
     prompt: int
     max_output: int
     estimated_output: int
+    shared_parts: tuple[str, ...] = ()
 
 
 class CallerRequest(NamedTuple):
--- a/tests/hemlockreel_platform/test_callers.py
+++ b/tests/hemlockreel_platform/test_callers.py
@@ -36,6 +36,14 @@
     assert request.demand == interfaces.Demand(1460, 80, 30)
 
 
+def test_shared_parts_are_all_but_the_last():
+    request = decode(
+        ("Hemlockreel-Token-Counts", "1460,80"),
+        ("Hemlockreel-Prompt-Prefix", "5C1E07a2:800, 91bd3f06:410,e4402b7d:2"),
+    )
+    assert request.demand.shared_parts == ("5c1e07a2", "91bd3f06")
+
+
 def test_output_estimate_defaults_to_the_maximum():
     request = decode(("Hemlockreel-Token-Counts", "1460,80"))
     assert request.demand.estimated_output == 80
