--- a/standins/hemlockreel_standins/platform_replica.py
+++ b/standins/hemlockreel_standins/platform_replica.py
@@ -113,6 +113,7 @@
                 if arrival is None:
                     return
                 self.arrivals.append(arrival)
+                self._note_arrival(arrival)
                 if arrival.target.startswith("/api/"):
                     sock.sendall(self._add_headers(self._control(arrival)))
                 elif arrival.headers.get("hemlockreel-serving-stage"):
@@ -127,6 +128,9 @@
             except OSError:
                 self.closed_early.set()
 
+    def _note_arrival(self, arrival: Arrival) -> None:
+        """Does nothing; a subclass may record the request."""
+
     # Control calls
 
     def _control(self, arrival: Arrival) -> bytes:
--- a/standins/hemlockreel_standins/soak/__main__.py
+++ b/standins/hemlockreel_standins/soak/__main__.py
@@ -83,7 +83,8 @@
     kept = pathlib.Path(where) / f"seed-{found.seed}"
     shutil.copytree(folder, kept, dirs_exist_ok=True)
     lines = [*found.log.spans, *found.log.sent, *found.log.runs]
-    lines += found.log.lapses
+    lines += [*found.log.lapses, *found.log.part_arrivals]
+    lines += found.log.part_crashes
     (kept / "records.txt").write_text("\n".join(map(repr, lines)) + "\n")
     print(f"  kept in {kept}")
 
--- a/standins/hemlockreel_standins/soak/backends.py
+++ b/standins/hemlockreel_standins/soak/backends.py
@@ -4,6 +4,7 @@
 checks find memory that a daemon neither used nor released.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import json
 import threading
@@ -20,6 +21,23 @@
 NOT_RUN_HEADERS = (("Hemlockreel-Not-Executed", "1"),)
 
 
+class CrashingParts:
+    """The parts of prompts that crash an engine which writes an answer.
+
+    ``crash`` is called with the replica and the part.
+    """
+
+    def __init__(self, crash: Callable[["RecordingReplica", str], None]):
+        self.ids: set[str] = set()
+        self.crash = crash
+
+    def find(self, arrival: platform_replica.Arrival) -> str:
+        """Returns the crashing part of a request's prompt, empty if none."""
+        prompt = arrival.headers.get("hemlockreel-prompt-prefix", "")
+        parts = [each.partition(":")[0] for each in prompt.split(",")]
+        return next((each for each in parts if each in self.ids), "")
+
+
 class PrefillResults:
     """The prefill results of all engines, by the source to fetch them from."""
 
@@ -61,9 +79,13 @@
         prefill_results: PrefillResults,
         id: str,
         stage: str | None = None,
+        crashing_parts: CrashingParts | None = None,
     ):
         super().__init__(stage)
         self.id = id
+        self._crashing_parts = crashing_parts or CrashingParts(
+            lambda replica, part: None
+        )
         self.mode = "own"
         self.public_address = self.address
         self._prefill_results = prefill_results
@@ -92,6 +114,13 @@
                 lapse = records.Lapse(self.id, "hold", at, now)
                 self._prefill_results.log.add(lapse)
 
+    def _note_arrival(self, arrival: platform_replica.Arrival) -> None:
+        part = self._crashing_parts.find(arrival)
+        if part:
+            id = arrival.headers["hemlockreel-request-id"]
+            found = records.PartArrival(id, part, self.id, time.monotonic())
+            self._prefill_results.log.add(found)
+
     def _control(self, arrival: platform_replica.Arrival) -> bytes:
         with self._reservations_lock:
             before = set(self._holds)
@@ -178,9 +207,14 @@
             "Transfer-Encoding: chunked",
         )
         first = int(arrival.headers.get("last-event-id") or 0) + 1
+        part = self._crashing_parts.find(arrival)
         for event in records.stream_events(id, first):
             time.sleep(EVENT_GAP_S)
             yield platform_replica.encode_chunk(event)
+            if part:
+                time.sleep(EVENT_GAP_S)
+                self._crashing_parts.crash(self, part)
+                raise ConnectionResetError
         yield b"0\r\n\r\n"
 
     def _answer_own_torn(
--- a/standins/hemlockreel_standins/soak/callers.py
+++ b/standins/hemlockreel_standins/soak/callers.py
@@ -12,6 +12,7 @@
 import socket
 import threading
 import time
+import zlib
 
 from .. import platform_replica
 from .. import platform_site
@@ -23,6 +24,7 @@
 DEADLINE_S = 2.0
 MAX_REQUESTS_PER_CONNECTION = 30
 PAUSE_S = 0.05
+PART_PAUSE_S = 0.6  # between the prompts with a crashing part
 RESOLVE_RETRY_S = 0.2
 ABANDONED_SHARE = 0.05  # of the streams, closed by the caller before they end
 FAILURES = (OSError, client.HTTPException, ValueError)
@@ -33,6 +35,8 @@
     "Hemlockreel-Model": "m",
     "Hemlockreel-Token-Counts": "1460,80",
 }
+FIRST_PART = "5c1e07a2"  # of all prompts
+SUBJECTS = 5  # each is a part that several prompts have
 
 
 class Caller:
@@ -41,7 +45,8 @@
     ``directories`` are the addresses at which the hosts resolve a name to the
     addresses that callers connect to. With ``refreshes_late`` the caller
     caches addresses for longer than their time to live, and its connection
-    outlasts them.
+    outlasts them. With ``part`` it sends only prompts that have this part,
+    each over a connection of its own.
     """
 
     def __init__(
@@ -51,6 +56,7 @@
         log: records.Log,
         seed: int,
         refreshes_late: bool,
+        part: str = "",
     ):
         self._name = name
         self._directories = directories
@@ -58,6 +64,7 @@
         self._rng = random.Random(seed)
         self._ttl_factor = 3 if refreshes_late else 1
         self._keeps_connection = refreshes_late
+        self._part = part
         self._numbers = itertools.count(1)
         self._addresses: list[str] = []
         self._fresh_until = 0.0
@@ -123,7 +130,7 @@
         # No automatic reconnect: a new connection may go to another address.
         connection.auto_open = 0
         try:
-            for _ in range(MAX_REQUESTS_PER_CONNECTION):
+            for _ in range(1 if self._part else MAX_REQUESTS_PER_CONNECTION):
                 if stopping.is_set() or not self._send(connection, address):
                     return
                 if (
@@ -131,24 +138,29 @@
                     and time.monotonic() > self._fresh_until
                 ):
                     return
-                stopping.wait(PAUSE_S * self._rng.random())
+                pause_s = PART_PAUSE_S if self._part else PAUSE_S
+                stopping.wait(pause_s * self._rng.random())
         finally:
             connection.close()
 
     def _send(self, connection: client.HTTPConnection, address: str) -> bool:
         """Sends one request; returns whether the connection can be reused."""
         id = f"{self._name}-{next(self._numbers)}"
-        streams = self._rng.random() < 0.4
+        streams = bool(self._part) or self._rng.random() < 0.4
         method, prefix = STREAM if streams else self._rng.choice(PLAIN)
-        leaves = streams and self._rng.random() < ABANDONED_SHARE
+        leaves = (
+            streams and not self._part and self._rng.random() < ABANDONED_SHARE
+        )
         target = f"{prefix}{id}?q={id}"
         headers = {
             "Host": platform_site.HOST,
             "Hemlockreel-Request-Id": id,
             "Hemlockreel-Deadline-Ms": str(round(DEADLINE_S * 1000)),
-            **(MODEL_HEADERS if streams else {}),
+            **(self._model_headers(id) if streams else {}),
         }
-        sent = records.Sent(id, method, target, address, time.monotonic(), 0.0)
+        sent = records.Sent(
+            id, method, target, address, time.monotonic(), 0.0, part=self._part
+        )
         connection.sock.settimeout(DEADLINE_S + 1.0)
         try:
             body = b"{}" if method == "POST" else None
@@ -174,6 +186,12 @@
             time.sleep(PAUSE_S)
         return kept
 
+    def _model_headers(self, id: str) -> dict[str, str]:
+        part = self._part or f"{self._rng.randrange(SUBJECTS):08x}"
+        own = f"{zlib.crc32(id.encode()):08x}"
+        prompt = f"{FIRST_PART}:800,{part}:410,{own}:250"
+        return {**MODEL_HEADERS, "Hemlockreel-Prompt-Prefix": prompt}
+
     def _abandon(
         self,
         sent: records.Sent,
--- a/standins/hemlockreel_standins/soak/plan.py
+++ b/standins/hemlockreel_standins/soak/plan.py
@@ -36,12 +36,14 @@
     ROUTE_MOVED = "route_moved"
     ALL_KILLED = "all_killed"
     STORE_RESTORED = "store_restored"  # from a copy some seconds old
+    PART_CRASHES = "part_crashes"  # prompts with a part that crashes engines
 
 
 # The relative frequency of each kind. Killing all hosts is rare, since it
 # hides the effects of other faults for some seconds.
 WEIGHTS = dict.fromkeys(Kind, 1.0) | {
     Kind.ALL_KILLED: 0.3,
+    Kind.PART_CRASHES: 0.5,
     Kind.HOST_STOPPED: 2.0,
     Kind.ROUTE_MOVED: 2.0,
 }
@@ -53,7 +55,10 @@
     Kind.REPLICA_LINK: 4.0,
     Kind.REPLICA_FAILS: 4.0,
     Kind.STORE_RESTORED: 5.0,
+    Kind.PART_CRASHES: 16.0,
 }
+# Five crashes and the time after them take longer than other faults.
+MIN_DURATION_S = {Kind.PART_CRASHES: 12.0}
 LINK_MODES = ("delayed", "reset", "silent", "no_requests", "no_answers")
 REPLICA_MODES = (
     "no_bytes",
@@ -79,7 +84,11 @@
 # A plan follows from its seed and these. Seeds that failed before the later
 # kinds existed are played with the earlier ones.
 EARLIER_CHOICES = Choices(
-    tuple(kind for kind in Kind if kind is not Kind.STORE_RESTORED),
+    tuple(
+        kind
+        for kind in Kind
+        if kind not in (Kind.STORE_RESTORED, Kind.PART_CRASHES)
+    ),
     REPLICA_MODES[:5],
 )
 
@@ -133,7 +142,9 @@
 ) -> Step:
     of_replica = kind.name.startswith("REPLICA")
     index = rng.randrange(replicas if of_replica else hosts)
-    for_s = rng.uniform(0.3, MAX_DURATION_S.get(kind, 0.3))
+    for_s = rng.uniform(
+        MIN_DURATION_S.get(kind, 0.3), MAX_DURATION_S.get(kind, 0.3)
+    )
     how = ""
     if kind in (Kind.STORE_LINK, Kind.REPLICA_LINK):
         how = rng.choice(LINK_MODES)
--- a/standins/hemlockreel_standins/soak/play.py
+++ b/standins/hemlockreel_standins/soak/play.py
@@ -172,5 +172,8 @@
         kind.REPLICA_LEAVES: lambda: deployment.replace(replica),
         kind.REPLICA_LOST: lambda: deployment.crash(replica),
         kind.ROUTE_MOVED: deployment.move_route,
+        kind.PART_CRASHES: lambda: deployment.send_crashing_part(
+            step.index, step.for_s
+        ),
     }
     return actions[step.kind]
--- a/standins/hemlockreel_standins/soak/promises.py
+++ b/standins/hemlockreel_standins/soak/promises.py
@@ -23,6 +23,9 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)  # the request was not run
 FAILED_STATUSES = (502, 504)
 OK = 200
+COUNTED_CRASHES = 5  # after which a crashing part must be known
+MAX_LATE_ARRIVALS = 3
+MIN_BYSTANDERS = 20  # requests; fewer say nothing about a share
 ALL_HOSTS = "all"  # the target of a span that affects every host
 
 
@@ -57,6 +60,8 @@
         *check_abandoned(log, runs),
         *check_expiries(log, bounds),
         *check_recovery(log.sent, bounds),
+        *check_crashing_parts(log),
+        *check_bystanders(log),
     ]
 
 
@@ -302,3 +307,86 @@
     served = sum(each.status == OK and each.whole for each in later)
     if not later or served < MIN_SERVED_SHARE * len(later):
         yield Violation("recovery", f"{served} of {len(later)} were served")
+
+
+def check_crashing_parts(log: records.Log) -> Iterator[Violation]:
+    """Few requests with a part that has crashed five replicas reach any."""
+    hosts = {each.id: each.host for each in log.sent}
+    for part, crashes in _crashes_by_part(log).items():
+        if len(crashes) < COUNTED_CRASHES:
+            continue
+        known_at = crashes[COUNTED_CRASHES - 1] + STABLE_S
+        late = [
+            each
+            for each in log.part_arrivals
+            if each.part == part
+            and each.at > known_at
+            and is_undisturbed(
+                log.spans, {hosts.get(each.id, "")}, each.at, each.at
+            )
+        ]
+        if len(late) > MAX_LATE_ARRIVALS:
+            detail = f"{len(late)} requests with {part} after five crashes"
+            yield Violation("budget", f"{detail}: {late[-1]}")
+
+
+def check_bystanders(log: records.Log) -> Iterator[Violation]:
+    """Sound prompts are served while others with a crashing part come.
+
+    Only requests count in whose time there is no other unplanned fault.
+    """
+    spans = [span for span in log.spans if span.kind not in PLANNED_KINDS]
+    crashed = {each.replica for each in log.part_crashes}
+    others = [span for span in spans if span.target not in crashed]
+    sound = [
+        each
+        for each in log.sent
+        if each.target.startswith("/drafts/")
+        and not each.part
+        and each.left_at is None
+    ]
+    parts = _part_spans(log)
+    calm = [each for each in sound if _is_calm([*spans, *parts], each)]
+    by_part = _crashes_by_part(log)
+    for _, part, _, end in parts:
+        begin = by_part[part][:COUNTED_CRASHES][-1] + 2 * STABLE_S
+        beside = [
+            each
+            for each in sound
+            if begin <= each.began_at <= end and _is_calm(others, each)
+        ]
+        if min(len(beside), len(calm)) < MIN_BYSTANDERS:
+            continue
+        if _served_share(beside) < _served_share(calm) / 2:
+            served = f"{_served_share(beside):.2f}, {_served_share(calm):.2f}"
+            yield Violation("lost", f"beside {part} and calm: {served}")
+
+
+def _crashes_by_part(log: records.Log) -> dict[str, list[float]]:
+    """Returns the times of the crashes of each part, in order."""
+    found: dict[str, list[float]] = {}
+    for each in sorted(log.part_crashes, key=lambda crash: crash.at):
+        found.setdefault(each.part, []).append(each.at)
+    return found
+
+
+def _is_calm(spans: Iterable[records.Span], sent: records.Sent) -> bool:
+    """Returns whether none of ``spans`` is near a request, at any target."""
+    return not any(
+        span.began_at <= sent.ended_at
+        and span.ended_at + STABLE_S >= sent.began_at
+        for span in spans
+    )
+
+
+def _part_spans(log: records.Log) -> list[records.Span]:
+    """Returns for each part the time in which requests with it came."""
+    found = []
+    for part in _crashes_by_part(log):
+        times = [each.began_at for each in log.sent if each.part == part]
+        found.append(records.Span("part", part, min(times), max(times)))
+    return found
+
+
+def _served_share(sent: list[records.Sent]) -> float:
+    return sum(each.status == OK and each.whole for each in sent) / len(sent)
--- a/standins/hemlockreel_standins/soak/records.py
+++ b/standins/hemlockreel_standins/soak/records.py
@@ -12,7 +12,8 @@
 
     ``status`` is 0 if there was no response. ``whole`` tells whether the
     response ended as its framing requires. ``left_at`` is when the caller
-    abandoned the request.
+    abandoned the request. ``part`` is the part of its prompt that crashes
+    engines, empty if it has none.
     """
 
     id: str
@@ -27,6 +28,7 @@
     whole: bool = False
     left_at: float | None = None
     error: str = ""
+    part: str = ""
 
 
 class Run(NamedTuple):
@@ -57,6 +59,23 @@
     at: float
 
 
+class PartArrival(NamedTuple):
+    """A request whose prompt has a crashing part reached a replica."""
+
+    id: str
+    part: str
+    replica: str
+    at: float
+
+
+class PartCrash(NamedTuple):
+    """A replica crashed as it began to write an answer on ``part``."""
+
+    part: str
+    replica: str
+    at: float
+
+
 class Span(NamedTuple):
     """A fault or operation applied to ``target``, and its duration."""
 
@@ -74,6 +93,8 @@
         self.runs: list[Run] = []
         self.lapses: list[Lapse] = []
         self.spans: list[Span] = []
+        self.part_arrivals: list[PartArrival] = []
+        self.part_crashes: list[PartCrash] = []
         self._lock = threading.Lock()
 
     def add(self, record: Any) -> None:
@@ -83,6 +104,8 @@
             Run: self.runs,
             Lapse: self.lapses,
             Span: self.spans,
+            PartArrival: self.part_arrivals,
+            PartCrash: self.part_crashes,
         }
         with self._lock:
             lists[type(record)].append(record)
--- a/standins/hemlockreel_standins/soak/site.py
+++ b/standins/hemlockreel_standins/soak/site.py
@@ -12,12 +12,14 @@
 from .. import platform_store
 from .. import server
 from . import backends
+from . import callers
 from . import link
 from . import promises
 from . import records
 
 GRACE_S = 4.0  # the value in the daemons' settings
 RESTART_S = 0.5  # delay until the platform restarts a process
+PART_RESTART_S = 1.5  # until an engine that crashed on a prompt is back
 # How long a draining replica still serves: its drain_ms and more.
 REPLICA_DRAIN_S = 4.0
 SWEEP_S = 0.1
@@ -79,6 +81,9 @@
         self.store = platform_store.Store()
         self._store_address = server.start(self.store)
         self.prefill_results = backends.PrefillResults(log)
+        self._crashing_parts = backends.CrashingParts(self._crash_on_part)
+        self._crashed: set[str] = set()
+        self._crash_lock = threading.Lock()
         self.replicas = [ReplicaSlot(*each) for each in REPLICAS]
         for replica in self.replicas:
             self._start_replica(replica)
@@ -137,7 +142,10 @@
     def _start_replica(self, replica: ReplicaSlot) -> None:
         name = f"{replica.service}-{next(self._numbers)}"
         replica.backend = backends.RecordingReplica(
-            self.prefill_results, name, replica.stage
+            self.prefill_results,
+            name,
+            replica.stage,
+            self._crashing_parts,
         )
         replica.link = link.Link(replica.backend.address)
         replica.backend.public_address = replica.link.address
@@ -164,19 +172,56 @@
         old_link.close()
         old.close()
 
-    def crash(self, replica: ReplicaSlot) -> None:
+    def crash(
+        self, replica: ReplicaSlot, restart_s: float = RESTART_S
+    ) -> None:
         """Ends a replica without draining it, and starts another one."""
         old, old_link = replica.backend, replica.link
         began_at = time.monotonic()
         old_link.close()
         old.close()
-        self.closing.wait(RESTART_S)
+        self.closing.wait(restart_s)
         self._start_replica(replica)
         # By then the missing heartbeats have been noticed.
         self.closing.wait(REPLICA_DRAIN_S)
         self._remove("servers", old.id)
         self.log.add(records.Span("lost", old.id, began_at, time.monotonic()))
 
+    def send_crashing_part(self, seed: int, for_s: float) -> None:
+        """Sends prompts with a part that crashes engines for ``for_s``."""
+        part = f"bad{seed:05x}{next(self._numbers):x}"
+        self._crashing_parts.ids.add(part)
+        caller = callers.Caller(
+            part,
+            [host.daemon.listen["directory"] for host in self.hosts],
+            self.log,
+            seed,
+            refreshes_late=False,
+            part=part,
+        )
+        stopping = threading.Event()
+        thread = threading.Thread(target=caller.run, args=(stopping,))
+        thread.start()
+        self.closing.wait(for_s)
+        stopping.set()
+        thread.join()
+
+    def _crash_on_part(
+        self, backend: backends.RecordingReplica, part: str
+    ) -> None:
+        with self._crash_lock:
+            if backend.id in self._crashed:
+                return
+            self._crashed.add(backend.id)
+        self.log.add(records.PartCrash(part, backend.id, time.monotonic()))
+        for replica in self.replicas:
+            if replica.backend is backend:
+                threading.Thread(
+                    target=self.crash,
+                    args=(replica, PART_RESTART_S),
+                    daemon=True,
+                ).start()
+
     def inject_replica_fault(
         self, replica: ReplicaSlot, how: str, for_s: float
     ) -> None:
--- a/standins/tests/soak/test_play.py
+++ b/standins/tests/soak/test_play.py
@@ -30,3 +30,11 @@
     found = play.play(3, 8.0, 3, 8, tmp_path, choices)
     assert found.violations == []
     assert found.steps > 0
+
+
+def test_crashing_part_ends_no_more_engines_once_it_is_known(tmp_path):
+    """BUDGET of issue 23: requests with one part ended engine after engine."""
+    choices = plan.Choices((plan.Kind.PART_CRASHES,), ())
+    found = play.play(1, 1.0, 4, 8, tmp_path, choices)
+    assert found.log.part_crashes
+    assert found.violations == []
--- a/standins/tests/soak/test_promises.py
+++ b/standins/tests/soak/test_promises.py
@@ -196,3 +196,53 @@
     found = [sent_request(str(number), status=503) for number in range(4)]
     assert violated_promises(*found) == {"recovery"}
     assert violated_promises() == {"recovery"}
+
+
+def crashes(*times, part="bad"):
+    return [records.PartCrash(part, f"drafter-{at}", at) for at in times]
+
+
+def late_requests(count, at):
+    sent = [
+        sent_request(f"late{n}", "/drafts/", at, status=503, part="bad")
+        for n in range(count)
+    ]
+    return sent + [
+        records.PartArrival(each.id, "bad", "drafter-9", at) for each in sent
+    ]
+
+
+@pytest.mark.parametrize(
+    "times, count, at, expected",
+    [
+        ((1.0, 2.0, 3.0, 4.0, 5.0), 4, 8.1, {"budget"}),
+        ((1.0, 2.0, 3.0, 4.0, 5.0), 3, 8.1, set()),
+        ((1.0, 2.0, 3.0, 4.0, 5.0), 4, 7.9, set()),
+        ((1.0, 2.0, 3.0, 4.0), 4, 8.1, set()),
+    ],
+)
+def test_requests_with_a_part_that_crashed_five_replicas(
+    times, count, at, expected
+):
+    served = sent_request()
+    found = [served, run_of(served), *crashes(*times)]
+    found += late_requests(count, at)
+    assert "budget" not in violated_promises(
+        *found, records.Span("killed", HOST, 4.0, 6.0)
+    )
+    violated = violated_promises(*found) & {"budget"}
+    assert violated == expected
+
+
+@pytest.mark.parametrize("served, expected", [(9, {"lost"}), (10, set())])
+def test_sound_prompts_beside_a_crashing_part(served, expected):
+    calm = [sent_request(f"c{n}", "/drafts/", 90.0) for n in range(20)]
+    beside = [
+        sent_request(
+            f"b{n}", "/drafts/", 12.0, status=200 if n < served else 503
+        )
+        for n in range(20)
+    ]
+    found = [*calm, *beside, *crashes(1.0, 2.0, 3.0, 4.0, 5.0)]
+    found += [*late_requests(1, 1.0), *late_requests(2, 13.0)]
+    assert violated_promises(*found) & {"lost"} == expected
