Block parts of prompts that crash the replicas answering them

Cause: nothing connected the crashes. A host sees one or two of them, each looks like a failed engine, and the next request, or the next attempt at the same one, goes to the next engine. The class: a request that ends what serves it, routed as if the server were at fault. Change: hosts report young answers that broke off to three judges, chosen by rendezvous. A part that such answers at three runs of replicas and two requests have in common, and on which no answer has come to its end since, is blocked: the judges ask all hosts for complete answers before they decide, and tell all of them what is blocked at once and each second. The shared first part works, so it is never blamed, and crashes under a blocked part blame no other. A request asks again right before it is sent. The blocks are kept in one object of the store, for the case that all hosts end at once. A block ends by itself, and the first crash after it renews it for twice as long.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
@@ -8,6 +8,7 @@
 
 from hemlockreel import outcomes
 
+from hemlockreel.forwarding import blocked_parts
 from hemlockreel.forwarding import instances
 from hemlockreel.forwarding import replica_selection
 
@@ -116,6 +117,8 @@
         route = self.job.route
         if self.left_s() <= 0:
             return False
+        if refused.reason is outcomes.Reason.PROMPT_BLOCKED:
+            return False
         if refused.ran is outcomes.Ran.NOT_RUN:
             self._record.refused_runs += 1
             return self._record.refused_runs <= MAX_REFUSED_RUNS
@@ -153,18 +156,14 @@
             if isinstance(prefilled, outcomes.Refused):
                 self._record.refused_runs = MAX_REFUSED_RUNS
                 return prefilled
-        if self.box.stopped is not None:
-            return outcomes.not_run(self.box.stopped.reason)
-        if not self.is_usable(reserved.instance):
-            detail = f"{reserved.instance.id} is leaving or changing"
-            return outcomes.not_run(
-                outcomes.Reason.NO_BACKEND, RETRY_AFTER_S, detail
-            )
-        if not self._take_retry_if_sent():
-            return self._out_of_budget()
+        refused = self._check_before_send(reserved.instance)
+        if refused is not None:
+            return refused
         left_s = self.left_s()
         if self.is_late(left_s):
             return request_handler.late_refusal()
+        self._record.begin_run()
+        sent_at = clock.now()
         head = self._send(reserved, prefilled, left_s)
         if isinstance(head, interfaces.SendFailure):
             self._note_failure(reserved.instance, prefilled, head, result)
@@ -177,21 +176,46 @@
             self.post(
                 replica_selection.PrefillResultUsed(prefilled.instance, True)
             )
-        started = clock.now()
+        events = self._record.events
         refused = stream_forwarding.forward_response(self, self._record, head)
         result.succeeded = refused is None
-        if refused is not None and self.box.stopped is None:
-            written_s = clock.now() - started
-            self._log_broken_run(reserved.instance, refused.detail, written_s)
+        if head.status != stream_forwarding.OK or self.box.stopped is not None:
+            return refused
+        if refused is None:
+            # Without framing, this may be the first part of an answer.
+            if head.framed and self._record.events > events:
+                self._report_complete(clock.now() - sent_at)
+        elif refused.reason is outcomes.Reason.BACKEND_FAILED:
+            self._report_broken(reserved.instance, refused.detail)
         return refused
 
-    def _log_broken_run(
-        self,
-        instance: instances.Instance,
-        detail: str,
-        written_s: float,
+    def _check_before_send(
+        self, instance: instances.Instance
+    ) -> outcomes.Refused | None:
+        """Returns why the request may not be sent now, after its waits."""
+        if self.box.stopped is not None:
+            return outcomes.not_run(self.box.stopped.reason)
+        unusable = self.check_usable(instance)
+        if unusable is None and not self._take_retry_if_sent():
+            return self._out_of_budget()
+        return unusable
+
+    def _report_complete(self, seconds: float) -> None:
+        """Reports to the loop that a run has written its whole answer."""
+        parts = self.job.request.demand.shared_parts
+        if parts:
+            self.post(
+                blocked_parts.RunCompleted(
+                    self.job.service.name, parts, seconds
+                )
+            )
+
+    def _report_broken(
+        self, instance: instances.Instance, detail: str
     ) -> None:
-        """Logs a run that broke off ``written_s`` after its head."""
+        """Reports to the loop, and logs, that a replica broke a run off."""
+        parts = self.job.request.demand.shared_parts
+        written_s = self._record.written_s(clock.now())
         self.log(
             "run_broken",
             replica=instance.id,
@@ -199,8 +223,19 @@
             written_ms=round(written_s * 1000),
             last_event=self._record.last_event_id,
             detail=detail,
-            parts=self.job.request.demand.shared_parts,
+            parts=parts,
         )
+        if parts:
+            self.post(
+                blocked_parts.RunBroken(
+                    self.job.service.name,
+                    self.job.request.id,
+                    instance.id,
+                    instance.born,
+                    parts,
+                    written_s,
+                )
+            )
 
     def _take_retry_if_sent(self) -> bool:
         """Takes a retry from the budget, unless this is the first attempt."""
@@ -239,7 +274,8 @@
             result.succeeded = False
             self._record.prefill_result = None
             self._note_sent(instance)
-            self._log_broken_run(instance, found.detail, 0.0)
+            if found.connection_lost and self.box.stopped is None:
+                self._report_broken(instance, found.detail)
         elif found.pause_s:
             # The replica is overloaded, which says nothing about its list
             # entry or the prefill result.
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/interfaces.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/interfaces.py
@@ -102,6 +102,8 @@
     ``instance_mismatch`` if the replica has another stage or is another run
     of the process than the list shows. ``pause_s`` is the time for which the
     replica wants nothing from this host, 0 if it asked for none.
+    ``connection_lost`` is set if the replica may have crashed: the connection
+    ended after the request was sent.
     """
 
     ran: Ran
@@ -109,6 +111,7 @@
     timed_out: bool = False
     instance_mismatch: bool = False
     pause_s: float = 0.0
+    connection_lost: bool = False
 
 
 class Notice(NamedTuple):
@@ -128,11 +131,14 @@
     """The head of a replica's response to the request.
 
     ``headers`` are those for the caller. The body is read from ``opened``.
+    Without ``framed`` it ends with the connection, so that a broken body
+    can't always be told from a complete one.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     opened: http_calls.OpenResponse
+    framed: bool = True
 
 
 class PrefillResult(NamedTuple):
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/progress.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/progress.py
@@ -28,6 +28,7 @@
         self.first_event_at: float | None = None
         self.longest_pause_s = 0.0
         self._last_event_at = 0.0
+        self._run_first_event_at: float | None = None
         self.reached_ids: tuple[str, ...] = ()
         self.deliveries = 0
         self.refused_runs = 0
@@ -37,8 +38,19 @@
         self.prefill_result_at = 0.0
         self.prefill_instance: instances.Instance | None = None
 
+    def begin_run(self) -> None:
+        """Notes that the request is about to be sent to a replica."""
+        self._run_first_event_at = None
+
+    def written_s(self, now: float) -> float:
+        """Returns the time since the first event of the last run."""
+        first_at = self._run_first_event_at
+        return 0.0 if first_at is None else now - first_at
+
     def note_event(self, now: float) -> bool:
         """Notes the time of an event; returns whether it is the first."""
+        if self._run_first_event_at is None:
+            self._run_first_event_at = now
         if self.first_event_at is None:
             self.first_event_at = self._last_event_at = now
             return True
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
@@ -146,6 +146,7 @@
             is_retry,
             demand.max_output,
             demand.estimated_output,
+            demand.shared_parts,
         )
         self.post(asked)
         value = self.box.get(LOOP_TIMEOUT_S)
@@ -155,10 +156,24 @@
             return outcomes.not_run(value.reason)
         return outcomes.not_run(outcomes.Reason.OVERLOADED, RETRY_SOON_S)
 
-    def is_usable(self, instance: instances.Instance) -> bool:
-        """Returns whether a selected replica may still be used."""
-        self.post(replica_selection.UsabilityRequested(self._key, instance.id))
-        return self.box.get(LOOP_TIMEOUT_S) is True
+    def check_usable(
+        self, instance: instances.Instance
+    ) -> outcomes.Refused | None:
+        """Returns why a selected replica may not get the request any more."""
+        demand = self.job.request.demand
+        asked = replica_selection.UsabilityRequested(
+            self._key,
+            instance.id,
+            self.job.service.name,
+            demand.shared_parts if demand else (),
+        )
+        self.post(asked)
+        value = self.box.get(LOOP_TIMEOUT_S)
+        if isinstance(value, replica_selection.Usable):
+            return None
+        if isinstance(value, outcomes.Refused):
+            return value
+        return outcomes.not_run(outcomes.Reason.OVERLOADED, RETRY_SOON_S)
 
     def wait_for_paused(self, refused: outcomes.Refused, until: float) -> bool:
         """Waits until a replica that asked for a pause may be called again.
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/status.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/status.py
@@ -7,6 +7,7 @@
 from hemlockreel import membership
 
 from hemlockreel.forwarding import active_deployment
+from hemlockreel.forwarding import blocked_parts
 from hemlockreel.forwarding import instances
 from hemlockreel.forwarding import ranking
 from hemlockreel.forwarding import replica_health
@@ -34,6 +35,7 @@
         "version": found.version if found else 0,
         "routes": len(found.routes) if found else 0,
         "controller": bool(leader.lease_time_left(board, now)),
+        "blocked_parts": _describe_blocked(board, now),
         "members": operators.describe_members(board),
         "replicas": [
             _describe(board, each, now)
@@ -42,6 +44,18 @@
     }
 
 
+def _describe_blocked(board: boards.Board, now: float) -> list[Any]:
+    return [
+        {
+            "service": part.service,
+            "part": part.id,
+            "for_s": round(each.until - now),
+            "times": each.times,
+        }
+        for part, each in board.state(blocked_parts.State).blocked.items()
+    ]
+
+
 def _describe(
     board: boards.Board, each: instances.Instance, now: float
 ) -> dict[str, Any]:
--- a/packages/hemlockreel/hemlockreel/core.py
+++ b/packages/hemlockreel/hemlockreel/core.py
@@ -33,6 +33,8 @@
 from . import store_era
 from . import takeover
 from .forwarding import active_deployment
+from .forwarding import block_records
+from .forwarding import blocked_parts
 from .forwarding import graceful_shutdown
 from .forwarding import instance_updates
 from .forwarding import replica_pauses
@@ -76,6 +78,8 @@
     instance_updates,
     store_fanout,
     replica_pauses,
+    blocked_parts,
+    block_records,
     replica_selection,
     leader,
     stage_assignment,
--- a/packages/hemlockreel/hemlockreel/forwarding/ranking.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/ranking.py
@@ -26,8 +26,9 @@
 
     For a request to a model, ``tokens`` is the size of its prompt and
     ``max_output`` and ``estimated_output`` are the limit and the estimate of
-    its output in tokens. An ``is_retry`` request was sent to a replica before
-    and uses the retry budget. ``exclude`` lists ids of replicas.
+    its output in tokens, and ``parts`` are the ids of the shared parts. An
+    ``is_retry`` request was sent to a replica before and uses the retry
+    budget. ``exclude`` lists ids of replicas.
     """
 
     request_id: str
@@ -38,6 +39,7 @@
     is_retry: bool = False
     max_output: int = 0
     estimated_output: int = 0
+    parts: tuple[str, ...] = ()
 
 
 class State:
--- a/packages/hemlockreel/hemlockreel/forwarding/replica_selection.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/replica_selection.py
@@ -15,6 +15,7 @@
 from .. import membership
 from .. import messages
 from .. import outcomes
+from . import blocked_parts
 from . import instances
 from . import output_lengths
 from . import prefill_times
@@ -29,6 +30,10 @@
 MISMATCH_EXCLUSION_S = 2.0
 
 
+class Usable(NamedTuple):
+    """The replica of :class:`UsabilityRequested` may get the request."""
+
+
 class Candidates(NamedTuple):
     """The replicas to try, best first.
 
@@ -118,10 +123,16 @@
 
 
 class UsabilityRequested(NamedTuple):
-    """A worker needs to know whether the replica ``id`` is still usable."""
+    """A worker is about to send a request for ``service`` to ``id``.
+
+    The reply is :class:`Usable`, or the refusal if the replica may not be used
+    any more or one of the prompt's ``parts`` is blocked.
+    """
 
     request_id: str
     id: str
+    service: str = ""
+    parts: tuple[str, ...] = ()
 
 
 class RequestReceived(NamedTuple):
@@ -151,6 +162,12 @@
 def _candidates_requested(
     event: ranking.CandidatesRequested, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
+    blocked = blocked_parts.find_refusal(
+        board, event.service, event.parts, now
+    )
+    if blocked is not None:
+        yield actions.Reply(event.request_id, blocked)
+        return
     found = ranking.rank(board, event, now)
     if not found:
         wait_s = _wait_for_paused_s(board, event, now)
@@ -331,4 +348,14 @@
     found = instances.is_usable(state, event.id, now) and not (
         replica_pauses.is_paused(board, state.instances[event.id], now)
     )
-    yield actions.Reply(event.request_id, found)
+    if not found:
+        refused = outcomes.not_run(
+            outcomes.Reason.NO_BACKEND,
+            NO_BACKEND_RETRY_AFTER_S,
+            f"{event.id} is leaving or changing",
+        )
+    else:
+        refused = blocked_parts.find_refusal(
+            board, event.service, event.parts, now
+        )
+    yield actions.Reply(event.request_id, refused or Usable())
--- a/packages/hemlockreel/hemlockreel/messages/__init__.py
+++ b/packages/hemlockreel/hemlockreel/messages/__init__.py
@@ -13,6 +13,11 @@
 from .members import PingRequest
 from .members import Sync
 from .members import SyncRequest
+from .parts import BlockedPart
+from .parts import PartsJudged
+from .parts import PartsWorked
+from .parts import PromptPart
+from .parts import RunBroke
 from .region import ListRead
 from .region import ReplicaChanging
 from .region import ReplicaLeaving
@@ -50,6 +55,7 @@
     "Ack",
     "AdmissionRequest",
     "AnyMessage",
+    "BlockedPart",
     "DocumentOffer",
     "DocumentUpdate",
     "DocumentVersion",
@@ -67,9 +73,12 @@
     "Message",
     "Moved",
     "NotOwner",
+    "PartsJudged",
+    "PartsWorked",
     "Ping",
     "PingRequest",
     "Prefilled",
+    "PromptPart",
     "Queued",
     "Refusal",
     "Release",
@@ -77,6 +86,7 @@
     "ReplicaLeaving",
     "ReplicaReport",
     "Revoked",
+    "RunBroke",
     "ShardPlan",
     "ShardReport",
     "Sync",
--- a/packages/hemlockreel/hemlockreel/messages/wire.py
+++ b/packages/hemlockreel/hemlockreel/messages/wire.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from . import members
+from . import parts
 from . import region
 from . import replication
 from . import requests
@@ -39,6 +40,9 @@
     | region.ReplicaChanging
     | region.ReplicaLeaving
     | region.ListRead
+    | parts.RunBroke
+    | parts.PartsWorked
+    | parts.PartsJudged
 )
 
 _decoder = msgspec.msgpack.Decoder(AnyMessage)
--- /dev/null
+++ b/packages/hemlockreel/tests/forwarding/test_blocked_parts.py
@@ -0,0 +1,261 @@
+"""A part of prompts that crashes the replicas that answer it.
+
+Each host sees few of the crashes, and streams beside them break off too.
+"""
+
+import pytest
+
+from hemlockreel import actions
+from hemlockreel import core
+from hemlockreel import events
+from hemlockreel import outcomes
+from hemlockreel import store_era
+from hemlockreel_standins import fabric
+from hemlockreel_standins import forwarding_rig as rigs
+
+from hemlockreel.forwarding import block_records
+from hemlockreel.forwarding import blocked_parts
+from hemlockreel.forwarding import instances
+from hemlockreel.forwarding import ranking
+from hemlockreel.forwarding import replica_selection
+
+FIRST, BAD, SUBJECT = "5c1e07a2", "bad", "91bd3f06"
+SETTLED_S = 3.0  # the platform's stability_ms
+
+
+class Fleet:
+    """Hosts on a simulated network, with a store and numbered crashes."""
+
+    def __init__(self, hosts=13):
+        self.fabric = fabric.Fabric()
+        self.fabric.step = lambda board, event, now: core.step(
+            board, event, now, core.FORWARDING_CONTROLLERS
+        )
+        self.fabric.call = self._call
+        self.objects = {}
+        self.revision = 5
+        self.era = 1
+        self.calls = 0
+        self.crashes = 0
+        self.hosts = [f"10.0.0.{number}:9" for number in range(hosts)]
+        self.start(self.hosts)
+
+    def start(self, hosts, run=1):
+        """Starts hosts anew, all at once, and lets them find each other."""
+        for host in hosts:
+            self.fabric.add(host, seeds=tuple(self.hosts[:3]), epoch=run)
+        self.fabric.run(SETTLED_S)
+
+    def _call(self, host, action):
+        if not isinstance(action, actions.CallStore):
+            return None
+        if block_records.KIND not in action.path:
+            return events.StoreResponded(action.call_id, 503, {}, era=self.era)
+        self.calls += 1
+        status, body = self._respond(action)
+        return events.StoreResponded(
+            action.call_id, status, body, era=self.era
+        )
+
+    def _respond(self, action):
+        found = self.objects.get(action.path)
+        if action.method == "PUT":
+            if action.expected != (found["version"] if found else 0):
+                return 412, {}
+            self.revision += 1
+            found = {"version": self.revision, "value": action.value}
+            self.objects[action.path] = found
+        return (200, {"object": found}) if found else (404, {})
+
+    def crash(self, *broken, at=0):
+        """Crashes a replica under requests, given as lists of parts.
+
+        Their hosts differ, beginning with number ``at``.
+        """
+        self.crashes += 1
+        for number, parts in enumerate(broken):
+            host = self.hosts[(at + number) % len(self.hosts)]
+            self.fabric.post(host, self.broken_run(parts, number))
+        self.fabric.run(1.2)
+
+    def broken_run(self, parts, number=0):
+        return blocked_parts.RunBroken(
+            "lesar", f"r{self.crashes}-{number}", f"d{self.crashes}", 7,
+            tuple(parts), 0.1,
+        )  # fmt: skip
+
+    def complete(self, *parts, at=-1, seconds=1.0):
+        done = blocked_parts.RunCompleted("lesar", parts, seconds)
+        self.fabric.post(self.hosts[at], done)
+        self.fabric.run(0.1)
+
+    def blocking(self, *parts):
+        """Returns the hosts that refuse a prompt with ``parts``."""
+        now = self.fabric.now
+        return {
+            host
+            for host, board in self.fabric.boards.items()
+            if blocked_parts.find_refusal(board, "lesar", parts, now)
+        }
+
+    def sent(self):
+        return sum(len(each) for each in self.fabric.sent.values())
+
+
+@pytest.fixture
+def fleet():
+    return Fleet()
+
+
+@pytest.mark.parametrize("hosts", [13, 195])
+def test_all_hosts_block_a_part_before_five_crashes_are_old(hosts):
+    """BUDGET of issue 23: requests with one part ended engine after engine."""
+    fleet = Fleet(hosts)
+    fleet.complete(FIRST, SUBJECT)
+    for number in range(3):
+        fleet.crash((FIRST, BAD), (FIRST, f"other{number}"), at=5 * number)
+    assert fleet.blocking(FIRST, BAD) == set(fleet.hosts)
+    assert not fleet.blocking(FIRST, SUBJECT)
+    assert not fleet.blocking(FIRST, "other0")
+
+
+def test_the_messages_of_a_crash_grow_with_the_hosts_only():
+    """No cost that grows with hosts x hosts."""
+    counts = []
+    for hosts in (20, 80):
+        fleet = Fleet(hosts)
+        before = fleet.sent()
+        fleet.fabric.run(1.2)
+        idle = fleet.sent() - before
+        fleet.crash(*[(FIRST, f"p{n}") for n in range(10)])
+        counts.append(fleet.sent() - before - 2 * idle)
+    assert counts[1] <= 5 * counts[0]
+
+
+def test_a_part_that_works_is_not_blamed_for_crashes_beside_it(fleet):
+    for _ in range(6):
+        fleet.crash((FIRST, SUBJECT))
+        fleet.complete(FIRST, SUBJECT)
+    assert not fleet.blocking(FIRST, SUBJECT)
+
+
+def test_a_first_part_is_not_blamed_while_all_answers_fail(fleet):
+    """LOST: sound requests share the first part with those that crash."""
+    fleet.complete(FIRST, SUBJECT)
+    for number in range(5):
+        fleet.crash((FIRST, f"a{number}"), (FIRST, f"b{number}"))
+    assert not fleet.blocking(FIRST)
+
+
+def test_one_request_that_is_cut_again_and_again_blames_nothing(fleet):
+    for _ in range(4):
+        fleet.crashes += 1
+        broken = fleet.broken_run((SUBJECT,))._replace(request_id="same")
+        fleet.fabric.post(fleet.hosts[0], broken)
+        fleet.fabric.run(1.0)
+    assert not fleet.blocking(SUBJECT)
+
+
+def test_answers_that_were_written_for_long_are_not_guilty(fleet):
+    for _ in range(4):
+        fleet.crashes += 1
+        broken = fleet.broken_run((SUBJECT,))._replace(written_s=0.6)
+        fleet.fabric.post(fleet.hosts[0], broken)
+        fleet.fabric.run(1.0)
+    assert not fleet.blocking(SUBJECT)
+
+
+def test_an_answer_that_comes_to_its_end_ends_the_block(fleet):
+    for number in range(3):
+        fleet.crash((BAD,), at=number)
+    assert fleet.blocking(BAD)
+    fleet.complete(BAD)
+    fleet.fabric.run(1.2)
+    assert not fleet.blocking(BAD)
+
+
+def test_a_block_ends_if_the_replicas_go_on_running(fleet):
+    """A cut link breaks answers off at replicas that have not crashed."""
+    found = [
+        rigs.engine(f"d{number}", "decode")._replace(born=7)
+        for number in (1, 2, 3)
+    ]
+    for host in fleet.hosts:
+        fleet.fabric.post(host, instances.InstancesListed(tuple(found)))
+    for number in range(3):
+        fleet.crash((SUBJECT,), at=number)
+    assert fleet.blocking(SUBJECT)
+    fleet.fabric.run(12.0)
+    assert not fleet.blocking(SUBJECT)
+
+
+@pytest.mark.parametrize("restored", [False, True])
+def test_blocks_outlast_all_hosts(fleet, restored):
+    """All hosts are killed at once, maybe after a restore of the store."""
+    for number in range(3):
+        fleet.crash((BAD,), at=number)
+    if restored:
+        fleet.objects.clear()
+        fleet.era += 1
+        for host in fleet.hosts:
+            fleet.fabric.post(host, store_era.EraSeen(fleet.era))
+        fleet.fabric.run(3.0)
+    for host in fleet.hosts:
+        fleet.fabric.kill(host)
+    calls = fleet.calls
+    fleet.start(fleet.hosts, run=2)
+    assert fleet.blocking(BAD) == set(fleet.hosts)
+    # Judges read, and so does who has not heard of the others yet.
+    assert fleet.calls - calls <= 2 * blocked_parts.JUDGES + 2
+
+
+def test_a_host_that_was_cut_off_learns_the_block(fleet):
+    away = fleet.hosts[4]
+    others = [host for host in fleet.hosts if host != away]
+    fleet.fabric.cut([away], others)
+    fleet.fabric.cut(others, [away])
+    for number in range(3):
+        fleet.crash((BAD,), at=5 + number)
+    assert away not in fleet.blocking(BAD)
+    fleet.fabric.cuts.clear()
+    fleet.fabric.run(SETTLED_S)
+    assert away in fleet.blocking(BAD)
+
+
+def test_the_first_crash_after_a_block_renews_it_for_longer(fleet):
+    for number in range(3):
+        fleet.crash((BAD,), at=number)
+    fleet.fabric.run(blocked_parts.BLOCK_S + 2.0)
+    assert not fleet.blocking(BAD)
+    fleet.crash((BAD,))
+    assert fleet.blocking(BAD) == set(fleet.hosts)
+    board = fleet.fabric.boards[fleet.hosts[0]]
+    (found,) = board.state(blocked_parts.State).blocked.values()
+    assert found.until - fleet.fabric.now > 1.9 * blocked_parts.BLOCK_S
+
+
+def test_a_request_that_waited_is_checked_again_before_it_is_sent(fleet):
+    board = fleet.fabric.boards[fleet.hosts[0]]
+    listed = instances.InstancesListed((rigs.engine("d1", "decode"),))
+    core.step(board, listed, 0.0, core.FORWARDING_CONTROLLERS)
+    for number in range(3):
+        fleet.crash((BAD,), at=number)
+    now = fleet.fabric.now
+    for asked in (
+        ranking.CandidatesRequested(
+            "key", "lesar", instances.Stage.DECODE, parts=(FIRST, BAD)
+        ),
+        replica_selection.UsabilityRequested("key", "d1", "lesar", (BAD,)),
+    ):
+        (reply,) = core.step(board, asked, now, core.FORWARDING_CONTROLLERS)
+        assert reply.value.reason is outcomes.Reason.PROMPT_BLOCKED
+        assert reply.value.ran is outcomes.Ran.NOT_RUN
+        assert 0 < reply.value.retry_after_s <= blocked_parts.BLOCK_S
+
+
+def test_prompts_with_many_parts_are_bounded(fleet):
+    parts = [f"p{number}" for number in range(500)] * 2
+    fleet.crash(parts)
+    for board in fleet.fabric.boards.values():
+        for each in board.state(blocked_parts.State).evidence.breaks:
+            assert len(each.parts) <= 64
