--- a/standins/hemlockreel_standins/soak/__main__.py
+++ b/standins/hemlockreel_standins/soak/__main__.py
@@ -84,7 +84,7 @@
     shutil.copytree(folder, kept, dirs_exist_ok=True)
     lines = [*found.log.spans, *found.log.sent, *found.log.runs]
     lines += [*found.log.lapses, *found.log.part_arrivals]
-    lines += found.log.part_crashes
+    lines += [*found.log.part_crashes, *found.log.limits]
     (kept / "records.txt").write_text("\n".join(map(repr, lines)) + "\n")
     print(f"  kept in {kept}")
 
--- a/standins/hemlockreel_standins/soak/plan.py
+++ b/standins/hemlockreel_standins/soak/plan.py
@@ -37,6 +37,7 @@
     ALL_KILLED = "all_killed"
     STORE_RESTORED = "store_restored"  # from a copy some seconds old
     PART_CRASHES = "part_crashes"  # prompts with a part that crashes engines
+    REPLICA_LIMITED = "replica_limited"  # names how many requests it takes
 
 
 # The relative frequency of each kind. Killing all hosts is rare, since it
@@ -56,9 +57,11 @@
     Kind.REPLICA_FAILS: 4.0,
     Kind.STORE_RESTORED: 5.0,
     Kind.PART_CRASHES: 16.0,
+    Kind.REPLICA_LIMITED: 16.0,
 }
-# Five crashes and the time after them take longer than other faults.
-MIN_DURATION_S = {Kind.PART_CRASHES: 12.0}
+# What must hold some seconds after these begin needs longer faults.
+MIN_DURATION_S = {Kind.PART_CRASHES: 12.0, Kind.REPLICA_LIMITED: 8.0}
+LATER_KINDS = (Kind.STORE_RESTORED, Kind.PART_CRASHES, Kind.REPLICA_LIMITED)
 LINK_MODES = ("delayed", "reset", "silent", "no_requests", "no_answers")
 REPLICA_MODES = (
     "no_bytes",
@@ -84,11 +87,7 @@
 # A plan follows from its seed and these. Seeds that failed before the later
 # kinds existed are played with the earlier ones.
 EARLIER_CHOICES = Choices(
-    tuple(
-        kind
-        for kind in Kind
-        if kind not in (Kind.STORE_RESTORED, Kind.PART_CRASHES)
-    ),
+    tuple(kind for kind in Kind if kind not in LATER_KINDS),
     REPLICA_MODES[:5],
 )
 
--- a/standins/hemlockreel_standins/soak/play.py
+++ b/standins/hemlockreel_standins/soak/play.py
@@ -172,6 +172,7 @@
         kind.REPLICA_LEAVES: lambda: deployment.replace(replica),
         kind.REPLICA_LOST: lambda: deployment.crash(replica),
         kind.ROUTE_MOVED: deployment.move_route,
+        kind.REPLICA_LIMITED: lambda: deployment.limit(replica, step.for_s),
         kind.PART_CRASHES: lambda: deployment.send_crashing_part(
             step.index, step.for_s
         ),
--- a/standins/hemlockreel_standins/soak/promises.py
+++ b/standins/hemlockreel_standins/soak/promises.py
@@ -19,13 +19,19 @@
 ABANDON_GRACE_S = 0.5  # in which replicas stop work for a caller that left
 MIN_SERVED_SHARE = 0.25  # of the requests after recovery; rule RECOVER
 MAX_UNSTOPPED_SHARE = 0.25  # of the abandoned streams; rule GONE
-PLANNED_KINDS = ("stop", "overran", "boot", "reload", "version", "leaving")
+PLANNED_KINDS = (
+    "stop", "overran", "boot", "reload", "version", "leaving", "limited",
+)  # fmt: skip
 NOT_RUN_STATUSES = (408, 421, 429, 503)  # the request was not run
 FAILED_STATUSES = (502, 504)
 OK = 200
 COUNTED_CRASHES = 5  # after which a crashing part must be known
 MAX_LATE_ARRIVALS = 3
 MIN_BYSTANDERS = 20  # requests; fewer say nothing about a share
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5  # of what a named limit allows in the window
+LIMIT_SLACK = 5  # requests
+TOLD_S = 0.5  # after a host has passed on an answer that names a limit
 ALL_HOSTS = "all"  # the target of a span that affects every host
 
 
@@ -62,6 +68,7 @@
         *check_recovery(log.sent, bounds),
         *check_crashing_parts(log),
         *check_bystanders(log),
+        *check_limits(log),
     ]
 
 
@@ -390,3 +397,56 @@
 
 def _served_share(sent: list[records.Sent]) -> float:
     return sum(each.status == OK and each.whole for each in sent) / len(sent)
+
+
+def check_limits(log: records.Log) -> Iterator[Violation]:
+    """A replica gets not much more than it takes from hosts that know."""
+    sent = {each.id: each for each in log.sent}
+    for limit in log.limits:
+        told = _told_at(log, limit, sent)
+        times = sorted(
+            run.began_at
+            for run in log.runs
+            if run.replica == limit.replica
+            and limit.began_at + STABLE_S < run.began_at <= limit.ended_at
+            and run.id in sent
+            and _must_know(log, told, sent[run.id].host, run.began_at)
+        )
+        allowed = LIMIT_FACTOR * limit.rate * LIMIT_WINDOW_S + LIMIT_SLACK
+        most = max(
+            (
+                sum(at - LIMIT_WINDOW_S < each <= at for each in times)
+                for at in times
+            ),
+            default=0,
+        )
+        if most > allowed:
+            detail = f"{most} requests in {LIMIT_WINDOW_S:g} s"
+            yield Violation("limit", f"{limit}: {detail}, {allowed:g} allowed")
+
+
+def _told_at(
+    log: records.Log, limit: records.Limit, sent: dict[str, records.Sent]
+) -> dict[str, float]:
+    """Returns when each host first passed on an answer with the limit."""
+    found: dict[str, float] = {}
+    for run in log.runs:
+        if run.replica != limit.replica or run.began_at < limit.began_at:
+            continue
+        request = sent.get(run.id)
+        if request is None or not run.finished or not request.whole:
+            continue
+        at = found.get(request.host, request.ended_at)
+        found[request.host] = min(at, request.ended_at)
+    return found
+
+
+def _must_know(
+    log: records.Log, told: dict[str, float], host: str, at: float
+) -> bool:
+    """Returns whether a host was told and had no fault of its own since."""
+    told_at = told.get(host)
+    if told_at is None or at < told_at + TOLD_S:
+        return False
+    own = [span for span in log.spans if span.target == host]
+    return is_undisturbed(own, {host}, told_at, at)
--- a/standins/hemlockreel_standins/soak/records.py
+++ b/standins/hemlockreel_standins/soak/records.py
@@ -76,6 +76,15 @@
     at: float
 
 
+class Limit(NamedTuple):
+    """A replica named a limit of ``rate`` requests a second meanwhile."""
+
+    replica: str
+    rate: float
+    began_at: float
+    ended_at: float
+
+
 class Span(NamedTuple):
     """A fault or operation applied to ``target``, and its duration."""
 
@@ -93,6 +102,7 @@
         self.runs: list[Run] = []
         self.lapses: list[Lapse] = []
         self.spans: list[Span] = []
+        self.limits: list[Limit] = []
         self.part_arrivals: list[PartArrival] = []
         self.part_crashes: list[PartCrash] = []
         self._lock = threading.Lock()
@@ -104,6 +114,7 @@
             Run: self.runs,
             Lapse: self.lapses,
             Span: self.spans,
+            Limit: self.limits,
             PartArrival: self.part_arrivals,
             PartCrash: self.part_crashes,
         }
--- a/standins/hemlockreel_standins/soak/site.py
+++ b/standins/hemlockreel_standins/soak/site.py
@@ -20,6 +20,7 @@
 GRACE_S = 4.0  # the value in the daemons' settings
 RESTART_S = 0.5  # delay until the platform restarts a process
 PART_RESTART_S = 1.5  # until an engine that crashed on a prompt is back
+LIMIT_PER_S = 3.4  # requests that a replica in need takes from all hosts
 # How long a draining replica still serves: its drain_ms and more.
 REPLICA_DRAIN_S = 4.0
 SWEEP_S = 0.1
@@ -222,6 +223,22 @@
                     daemon=True,
                 ).start()
 
+    def limit(self, replica: ReplicaSlot, for_s: float) -> None:
+        """Has a replica name a limit in its answers for ``for_s``."""
+        backend = replica.backend
+        header = ("Server-Limit", f"{LIMIT_PER_S:g}")
+        if header in backend.extra_headers:
+            return
+        began_at = time.monotonic()
+        backend.extra_headers += (header,)
+        self.closing.wait(for_s)
+        backend.extra_headers = tuple(
+            each for each in backend.extra_headers if each != header
+        )
+        now = time.monotonic()
+        self.log.add(records.Limit(backend.id, LIMIT_PER_S, began_at, now))
+        self.log.add(records.Span("limited", backend.id, began_at, now))
+
     def inject_replica_fault(
         self, replica: ReplicaSlot, how: str, for_s: float
     ) -> None:
--- a/standins/tests/soak/test_play.py
+++ b/standins/tests/soak/test_play.py
@@ -38,3 +38,11 @@
     found = play.play(1, 1.0, 4, 8, tmp_path, choices)
     assert found.log.part_crashes
     assert found.violations == []
+
+
+def test_a_named_limit_holds_over_all_hosts(tmp_path):
+    """LIMIT of issue 23: a server got far more than the limit it named."""
+    choices = plan.Choices((plan.Kind.REPLICA_LIMITED,), ())
+    found = play.play(2, 1.0, 4, 8, tmp_path, choices)
+    assert found.log.limits
+    assert found.violations == []
--- a/standins/tests/soak/test_promises.py
+++ b/standins/tests/soak/test_promises.py
@@ -246,3 +246,21 @@
     found = [*calm, *beside, *crashes(1.0, 2.0, 3.0, 4.0, 5.0)]
     found += [*late_requests(1, 1.0), *late_requests(2, 13.0)]
     assert violated_promises(*found) & {"lost"} == expected
+
+
+@pytest.mark.parametrize(
+    "gap_s, began_at, expected",
+    [(0.15, 0.0, {"limit"}), (0.17, 0.0, set()), (0.15, 16.0, set())],
+)
+def test_requests_at_a_replica_that_names_a_limit(gap_s, began_at, expected):
+    """3.4 a second allow 25 in 4 s, half a second after a host was told."""
+    limit = records.Limit("bookings-1", 3.4, began_at, 30.0)
+    first = sent_request("first", at=began_at)
+    found = [
+        sent_request(str(number), at=10.0 + gap_s * number)
+        for number in range(40)
+    ]
+    runs = [run_of(each) for each in (first, *found)]
+    assert violated_promises(first, *found, *runs, limit) == expected
+    killed = records.Span("killed", HOST, 5.0, 20.0)
+    assert violated_promises(first, *found, *runs, limit, killed) == set()
