Hold limits that replicas name over all hosts

Cause: the header was not read. The class: a limit that is to hold over all hosts, where a host knows only its own requests. A share for each host leaves most of a small limit unused (3.4 a second over 195 hosts), a limit applied by each host is exceeded by the number of hosts. Change: a host that hears of a limit tells all others. One host, chosen by rendezvous for the replica, gives the permits, one message each way for a call; it books a place in order for requests that can wait, and says otherwise when there will be room. Without its answer a request goes elsewhere. Replicas without a limit come first for nine requests of ten. An answer without the header, and another run of the replica, end the limit; what is not a number, negative or huge is none, and zero still lets a trial through every ten seconds. The rig of handlers delivers messages of a host to itself, since permits need that.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
@@ -17,6 +17,7 @@
 from hemlockreel.forwarding import deployments
 from hemlockreel.forwarding import graceful_shutdown
 from hemlockreel.forwarding import instances
+from hemlockreel.forwarding import replica_limits
 from hemlockreel.forwarding import replica_pauses
 from hemlockreel.forwarding import replica_selection
 from hemlockreel.forwarding import retry_budget
@@ -79,6 +80,7 @@
         self.phase = graceful_shutdown.Phase()
         self.listed = False
         self.ready = False
+        self._limited: frozenset[str] = frozenset()
         self._created = clock.now()
         self.daemon = daemons.Daemon(
             found, daemon_edges, core.FORWARDING_CONTROLLERS, self._publish
@@ -141,6 +143,11 @@
             self.daemon.loop.post(
                 replica_pauses.PauseAsked(id, born, notice.pause_s)
             )
+        ended = notice.is_answer and id in self._limited
+        if notice.limit is not None or ended:
+            self.daemon.loop.post(
+                replica_limits.LimitStated(id, born, notice.limit)
+            )
 
     def find_addresses(self, zone: str) -> list[str]:
         """Returns the addresses for a caller in ``zone``."""
@@ -152,6 +159,7 @@
         for kind, reader in self._readers.items():
             reader.set_plan(store_fanout.read_plan(board, kind, now))
         self.phase = graceful_shutdown.phase(board, now)
+        self._limited = replica_limits.limited(board)
         self.deployment = active_deployment.current(board)
         self.listed = board.state(instances.State).has_list
         ready = status.is_ready(board)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
@@ -24,6 +24,8 @@
 # Callers abandon a stream after 2 s without an event at the earliest, so a
 # resumable one is retried before that.
 RESUMABLE_HEAD_TIMEOUT_S = 1.2
+# Of the objective: how long a prompt that was processed waits for a permit.
+PERMIT_WAIT_SHARE = 0.3
 # For callers when a replica is leaving or the retry budget is used up; both
 # pass within the platform's drain_ms and budget_window_s.
 RETRY_AFTER_S = 1.0
@@ -195,7 +197,9 @@
         """Returns why the request may not be sent now, after its waits."""
         if self.box.stopped is not None:
             return outcomes.not_run(self.box.stopped.reason)
-        unusable = self.check_usable(instance)
+        unusable = self.check_usable(
+            instance, PERMIT_WAIT_SHARE * self.job.route.objective_s
+        )
         if unusable is None and not self._take_retry_if_sent():
             return self._out_of_budget()
         return unusable
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/interfaces.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/interfaces.py
@@ -118,13 +118,17 @@
     """What a replica's response says of the replica itself.
 
     ``leaving`` is set if it ends soon, ``pause_s`` is as in
-    :class:`SendFailure`.
+    :class:`SendFailure`. ``limit`` is how many requests a second it takes from
+    all hosts together, ``None`` if it names no limit. ``is_answer`` is set
+    for a response to a caller's request.
     """
 
     id: str
     born: int
     leaving: bool
     pause_s: float
+    limit: float | None = None
+    is_answer: bool = False
 
 
 class ResponseHead(NamedTuple):
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/plain_requests.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/plain_requests.py
@@ -11,6 +11,7 @@
 from hemlockreel.forwarding import instances
 from hemlockreel.forwarding import replica_selection
 
+from .. import clock
 from .. import http_calls
 from . import interfaces
 from . import request_handler
@@ -61,21 +62,40 @@
                 if last is None and self.wait_for_paused(found, until):
                     continue
                 return last or found
-            for instance in found.instances:
-                result = self._attempt(instance)
-                if result is not None:
-                    break
-            else:
+            sent = self.sent
+            result = self._attempt_first(found, until)
+            if result is None:
                 return last or outcomes.not_run(
                     outcomes.Reason.NO_BACKEND, request_handler.RETRY_SOON_S
                 )
             last = self._choose_result(last, result)
-            if not self._may_retry(result):
+            if self.sent == sent or not self._may_retry(result):
                 break
             self.log("tried_again", tried=self.tried, after=str(result)[:80])
         reason = outcomes.Reason.OVERLOADED
         return last or outcomes.not_run(reason, request_handler.RETRY_SOON_S)
 
+    def _attempt_first(
+        self, found: replica_selection.Candidates, until: float
+    ) -> Response | outcomes.Refused | None:
+        """Sends the request to the first replica that can be reached.
+
+        Only the last one is waited for, until ``until``, if it has a limit.
+        Returns ``None`` if no replica can be reached.
+        """
+        refused = None
+        for number, instance in enumerate(found.instances, 1):
+            if instance.id in found.limited:
+                is_last = number == len(found.instances)
+                wait_s = max(0.0, until - clock.now()) if is_last else 0.0
+                refused = self.take_permit(instance, wait_s)
+                if refused is not None:
+                    continue
+            result = self._attempt(instance)
+            if result is not None:
+                return result
+        return refused
+
     def _choose_result(
         self,
         last: Response | outcomes.Refused | None,
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/remote_prefill.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/remote_prefill.py
@@ -48,6 +48,11 @@
             return None
         instance = found.instances[0]
         tried += (instance.id,)
+        if (
+            instance.id in found.limited
+            and handler.take_permit(instance) is not None
+        ):
+            continue
         left_s = handler.left_s()
         if handler.is_late(left_s):
             return None
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
@@ -13,6 +13,7 @@
 from hemlockreel.forwarding import deployments
 from hemlockreel.forwarding import instances
 from hemlockreel.forwarding import ranking
+from hemlockreel.forwarding import replica_limits
 from hemlockreel.forwarding import replica_selection
 
 from .. import clock
@@ -24,6 +25,8 @@
 
 RESPONSE_MARGIN_S = 0.05  # so that a refusal arrives before the time limit
 LOOP_TIMEOUT_S = 1.0  # for a reply of the loop, which takes about 1 ms
+PERMIT_TIMEOUT_S = 0.1  # for the host that gives permits for a replica
+RETRY_SPREAD_S = 0.25  # so that refused callers don't return all at once
 RETRY_SOON_S = 0.1  # for cases where other replicas are likely free
 # Replicas are overloaded for the length of a burst, some seconds. A caller
 # that retries sooner takes memory from others or fails for good. Callers wait
@@ -104,6 +107,7 @@
         self.ran = False
         self.tried: list[str] = []
         self.outcome = "failed"
+        self._permits_asked = 0
 
     def post(self, event: Any) -> None:
         """Posts an event to the loop."""
@@ -149,17 +153,64 @@
             demand.shared_parts,
         )
         self.post(asked)
-        value = self.box.get(LOOP_TIMEOUT_S)
+        value = self._receive(LOOP_TIMEOUT_S)
         if isinstance(value, replica_selection.Candidates | outcomes.Refused):
             return value
         if isinstance(value, mailbox.Stopped):
             return outcomes.not_run(value.reason)
         return outcomes.not_run(outcomes.Reason.OVERLOADED, RETRY_SOON_S)
 
+    def _receive(self, timeout_s: float) -> Any:
+        """Returns the next reply; a permit that came too late is none."""
+        until = clock.now() + timeout_s
+        while True:
+            value = self.box.get(max(0.0, until - clock.now()))
+            if not isinstance(value, replica_limits.Permit):
+                return value
+            if value.number == self._permits_asked:
+                return value
+
+    def take_permit(
+        self, instance: instances.Instance, max_wait_s: float = 0.0
+    ) -> outcomes.Refused | None:
+        """Waits until a replica that names a limit may get one more call.
+
+        Returns the refusal if that is not so within ``max_wait_s``.
+        """
+        self._permits_asked += 1
+        self.post(
+            replica_limits.PermitRequested(
+                self._key, self._permits_asked, instance.id, max_wait_s
+            )
+        )
+        permit = self._receive(PERMIT_TIMEOUT_S)
+        # An answer to this one may still arrive.
+        self._permits_asked += 1
+        if isinstance(permit, mailbox.Stopped):
+            return outcomes.not_run(permit.reason)
+        detail = f"{instance.id} takes no more requests now"
+        if not isinstance(permit, replica_limits.Permit):
+            return outcomes.not_run(
+                outcomes.Reason.OVERLOADED, RETRY_SOON_S, detail
+            )
+        if not permit.granted:
+            after_s = permit.after_s + self.tools.daemon.rng.uniform(
+                0.0, RETRY_SPREAD_S
+            )
+            return outcomes.not_run(
+                outcomes.Reason.OVERLOADED, after_s, detail
+            )
+        if permit.after_s:
+            time.sleep(permit.after_s)
+        return None
+
     def check_usable(
-        self, instance: instances.Instance
+        self, instance: instances.Instance, max_wait_s: float
     ) -> outcomes.Refused | None:
-        """Returns why a selected replica may not get the request any more."""
+        """Returns why a selected replica may not get the request any more.
+
+        It waits up to ``max_wait_s`` for a replica that names a limit.
+        """
         demand = self.job.request.demand
         asked = replica_selection.UsabilityRequested(
             self._key,
@@ -168,8 +219,10 @@
             demand.shared_parts if demand else (),
         )
         self.post(asked)
-        value = self.box.get(LOOP_TIMEOUT_S)
+        value = self._receive(LOOP_TIMEOUT_S)
         if isinstance(value, replica_selection.Usable):
+            if value.limited:
+                return self.take_permit(instance, max_wait_s)
             return None
         if isinstance(value, outcomes.Refused):
             return value
@@ -216,7 +269,7 @@
         self.post(
             replica_selection.RetryRequested(self._key, self.job.service.name)
         )
-        return self.box.get(LOOP_TIMEOUT_S) is True
+        return self._receive(LOOP_TIMEOUT_S) is True
 
     def refuse(self, refused: outcomes.Refused) -> None:
         """Sends a refusal, or aborts a response that has started."""
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/reservation.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/reservation.py
@@ -62,6 +62,11 @@
                 "the replicas that this attempt may go to are not usable",
             )
         for instance in eligible[:MAX_ASKED]:
+            if (
+                instance.id in found.limited
+                and handler.take_permit(instance) is not None
+            ):
+                continue
             reservation_id = _try_reserve(handler, instance, tokens)
             if reservation_id is not None:
                 return Reservation(instance, reservation_id, tokens)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/metrics.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/metrics.py
@@ -17,6 +17,7 @@
     "store_restores": ("Restores of the store from an older copy.", ()),
     "leaving_replicas": ("Replicas that told this host that they leave.", ()),
     "replica_pauses": ("Pauses that replicas asked of this host.", ()),
+    "replica_limits": ("News of limits that replicas name.", ()),
     "blocked_parts": ("Parts of prompts taken for crashing.", ()),
     "late_moves": ("News of moves that a later one had undone.", ()),
     "orders": ("Orders sent to engines.", ("order",)),
--- a/packages/hemlockreel/hemlockreel/core.py
+++ b/packages/hemlockreel/hemlockreel/core.py
@@ -37,6 +37,7 @@
 from .forwarding import blocked_parts
 from .forwarding import graceful_shutdown
 from .forwarding import instance_updates
+from .forwarding import replica_limits
 from .forwarding import replica_pauses
 from .forwarding import replica_selection
 from .forwarding import stage_assignment
@@ -78,6 +79,7 @@
     instance_updates,
     store_fanout,
     replica_pauses,
+    replica_limits,
     blocked_parts,
     block_records,
     replica_selection,
--- a/packages/hemlockreel/hemlockreel/forwarding/instance_updates.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/instance_updates.py
@@ -17,6 +17,7 @@
 from . import prefill_times
 from . import ranking
 from . import replica_health
+from . import replica_limits
 
 
 @functools.singledispatch
@@ -126,6 +127,7 @@
 ) -> Iterable[actions.Action]:
     for id in gone:
         replica_health.forget(board.state(replica_health.State), id)
+        replica_limits.forget(board.state(replica_limits.State), id)
         prefill_times.forget(board.state(prefill_times.State), id)
         board.state(ranking.State).reservation_refused_at.pop(id, None)
         yield actions.Log("replica_gone", {"replica": id})
--- a/packages/hemlockreel/hemlockreel/forwarding/ranking.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/ranking.py
@@ -10,6 +10,7 @@
 from . import instances
 from . import prefill_times
 from . import replica_health
+from . import replica_limits
 from . import replica_pauses
 
 # A replica in another availability zone costs a round trip between zones, so
@@ -17,6 +18,9 @@
 # their slots.
 ZONE_PENALTY = 0.25
 FAILURE_WEIGHT = 4.0  # of the failure rate, relative to the share of slots
+# Of the requests, for which replicas that name a limit come before others.
+# The rest is for the others, as most requests would find no permit.
+LIMITED_FIRST_SHARE = 0.1
 # How long a replica that had no memory for a reservation is ranked last.
 RESERVATION_REFUSED_S = 0.25
 
@@ -80,15 +84,18 @@
         each.id: replica_health.failure_rate(health, each.id, now)
         for each in found
     }
+    limited = replica_limits.limited(board)
+    is_first = board.rng.random() < LIMITED_FIRST_SHARE
     best = min(rates.values(), default=0.0)
 
-    def key(each: instances.Instance) -> tuple[bool, bool, float, float]:
+    def key(each: instances.Instance) -> tuple[bool, bool, bool, float, float]:
         excess_failures = max(
             0.0, rates[each.id] - best - replica_health.FAILURE_RATE_TOLERANCE
         )
         return (
             replica_health.is_in_connect_backoff(health, each.id, now),
             _is_full(board, each, event, now),
+            (each.id in limited) != is_first,
             _load(board, each, event, now) + FAILURE_WEIGHT * excess_failures,
             board.rng.random(),
         )
--- a/packages/hemlockreel/hemlockreel/forwarding/replica_selection.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/replica_selection.py
@@ -21,6 +21,7 @@
 from . import prefill_times
 from . import ranking
 from . import replica_health
+from . import replica_limits
 from . import replica_pauses
 from . import retry_budget
 
@@ -31,17 +32,24 @@
 
 
 class Usable(NamedTuple):
-    """The replica of :class:`UsabilityRequested` may get the request."""
+    """The replica of :class:`UsabilityRequested` may get the request.
+
+    If it is ``limited``, that needs a permit.
+    """
+
+    limited: bool = False
 
 
 class Candidates(NamedTuple):
     """The replicas to try, best first.
 
-    ``reserve_tokens`` is the output to reserve memory for.
+    ``reserve_tokens`` is the output to reserve memory for, ``limited`` the
+    ids of replicas that need a permit for each call.
     """
 
     instances: tuple[instances.Instance, ...]
     reserve_tokens: int = 0
+    limited: frozenset[str] = frozenset()
 
 
 class GenerationFinished(NamedTuple):
@@ -198,7 +206,10 @@
         event.max_output,
         event.estimated_output,
     )
-    yield actions.Reply(event.request_id, Candidates(tuple(found), reserve))
+    limited = replica_limits.limited(board)
+    yield actions.Reply(
+        event.request_id, Candidates(tuple(found), reserve, limited)
+    )
 
 
 def _wait_for_paused_s(
@@ -331,12 +342,14 @@
 ) -> bool:
     """Returns whether ``instance`` wants calls that free what it holds.
 
-    It wants none after it has stated that it leaves, or asked for a pause.
+    It wants none after it has stated that it leaves, or asked for a pause,
+    and while it names a limit.
     """
     state = board.state(instances.State)
     return not (
         instances.has_said_so(state, instance)
         or replica_pauses.is_paused(board, instance, now)
+        or instance.id in replica_limits.limited(board)
     )
 
 
@@ -348,6 +361,7 @@
     found = instances.is_usable(state, event.id, now) and not (
         replica_pauses.is_paused(board, state.instances[event.id], now)
     )
+    usable = Usable(event.id in replica_limits.limited(board))
     if not found:
         refused = outcomes.not_run(
             outcomes.Reason.NO_BACKEND,
@@ -358,4 +372,4 @@
         refused = blocked_parts.find_refusal(
             board, event.service, event.parts, now
         )
-    yield actions.Reply(event.request_id, refused or Usable())
+    yield actions.Reply(event.request_id, refused or usable)
--- a/packages/hemlockreel/hemlockreel/messages/__init__.py
+++ b/packages/hemlockreel/hemlockreel/messages/__init__.py
@@ -6,6 +6,9 @@
 of the daemon at that address.
 """
 
+from .limits import PermitAsked
+from .limits import PermitGiven
+from .limits import ReplicaLimited
 from .members import Ack
 from .members import Gossip
 from .members import MemberUpdate
@@ -75,6 +78,8 @@
     "NotOwner",
     "PartsJudged",
     "PartsWorked",
+    "PermitAsked",
+    "PermitGiven",
     "Ping",
     "PingRequest",
     "Prefilled",
@@ -84,6 +89,7 @@
     "Release",
     "ReplicaChanging",
     "ReplicaLeaving",
+    "ReplicaLimited",
     "ReplicaReport",
     "Revoked",
     "RunBroke",
--- a/packages/hemlockreel/hemlockreel/messages/wire.py
+++ b/packages/hemlockreel/hemlockreel/messages/wire.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from . import limits
 from . import members
 from . import parts
 from . import region
@@ -40,6 +41,9 @@
     | region.ReplicaChanging
     | region.ReplicaLeaving
     | region.ListRead
+    | limits.ReplicaLimited
+    | limits.PermitAsked
+    | limits.PermitGiven
     | parts.RunBroke
     | parts.PartsWorked
     | parts.PartsJudged
--- a/standins/hemlockreel_standins/forwarding_rig.py
+++ b/standins/hemlockreel_standins/forwarding_rig.py
@@ -55,6 +55,11 @@
         ):
             if isinstance(action, actions.Reply):
                 self.box.put(action.value)
+            elif (
+                isinstance(action, actions.Send)
+                and action.to == self.board.identity.host
+            ):
+                self.post(action.message)
 
     def query(self, function):
         """Returns ``function(board)``."""
@@ -67,6 +72,7 @@
     def __init__(self, loop: Loop):
         self.loop = loop
         self.metrics = metrics.Metrics()
+        self.rng = loop.board.rng
 
 
 class Exchange:
--- a/tests/hemlockreel_platform/test_replicas.py
+++ b/tests/hemlockreel_platform/test_replicas.py
@@ -214,7 +214,25 @@
         backends.reserve(found, 10, 1.0)
     else:
         backends.release_reservation(found, "hold-1")
-    assert seen == [interfaces.Notice(found.id, 7, True, 0.0)]
+    is_answer = call == "send"
+    assert seen == [
+        interfaces.Notice(found.id, 7, True, 0.0, is_answer=is_answer)
+    ]
+
+
+@pytest.mark.parametrize(
+    "text, limit",
+    [("3.4", 3.4), ("0", 0.0), ("-1", None), ("nan", None), ("inf", None),
+     ("1e9", None), ("many", None), ("", None)],
+)  # fmt: skip
+def test_named_limit_is_decoded(text, limit):
+    stand_in = platform_replica.Replica()
+    stand_in.extra_headers = (("Server-Limit", text),)
+    backends = replicas.Replicas()
+    seen = observe(backends)
+    options, box = interfaces.SendOptions(), mailbox.Mailbox()
+    backends.send(instance(stand_in), REQUEST, 1.0, options, box)
+    assert [each.limit for each in seen] == [limit]
 
 
 def test_a_reservation_that_is_turned_away_states_the_pause():
