Judge broken answers also while others break off all the time

What callers would see: where answers break off more often than every 0.3 s, as in a large fleet under faults, a crashing part is never blocked. Cause: the judges waited for 0.3 s without a report. Evidence: the new test, a report each 0.1 s, fails on the code before. Change: a judge decides at each tick on what is older than 0.3 s. Result: the test passes, and those of the blocks.

--- a/packages/hemlockreel/hemlockreel/forwarding/blocked_parts.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/blocked_parts.py
@@ -277,8 +277,9 @@
         del state.cleared[part]
     if state.unasked:
         yield from _ask_all(board, now)
-    if state.unjudged_at is not None and now - state.unjudged_at >= SETTLE_S:
-        state.unjudged_at = None
+    if state.unjudged_at is not None:
+        if now - state.unjudged_at >= SETTLE_S:
+            state.unjudged_at = None
         yield from _judge(board, now)
     if now < state.next_message_at:
         return
@@ -303,7 +304,9 @@
         if not crash_evidence.is_sound(state.evidence, part, now):
             yield from _block_for_all(board, part, now)
     while True:
-        part = crash_evidence.find_cause(state.evidence, state.blocked, now)
+        part = crash_evidence.find_cause(
+            state.evidence, state.blocked, now, now - SETTLE_S
+        )
         if part is None:
             return
         yield from _block_for_all(board, part, now)
--- a/packages/hemlockreel/hemlockreel/forwarding/crash_evidence.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/crash_evidence.py
@@ -82,10 +82,12 @@
 
 
 def find_cause(
-    evidence: Evidence, explained: Iterable[Part], now: float
+    evidence: Evidence, explained: Iterable[Part], now: float, until: float
 ) -> Part | None:
     """Returns the part that most likely crashes replicas, ``None`` if none.
 
+    Answers that broke off after ``until`` don't count yet.
+
     Crashes under the ``explained`` parts blame no other part. Among equal
     parts the later one of a prompt is shared by fewer requests.
     """
@@ -99,7 +101,7 @@
     requests: dict[Part, set[str]] = {}
     positions: dict[Part, int] = {}
     for each in evidence.breaks:
-        if each.replica_run in explained_runs:
+        if each.replica_run in explained_runs or each.at > until:
             continue
         for position, part in enumerate(each.parts):
             if is_sound(evidence, part, now) or part in known:
--- a/packages/hemlockreel/tests/forwarding/test_blocked_parts.py
+++ b/packages/hemlockreel/tests/forwarding/test_blocked_parts.py
@@ -147,6 +147,19 @@
     assert not fleet.blocking(FIRST)
 
 
+def test_a_part_is_blamed_while_other_answers_break_off_all_the_time(fleet):
+    for number in range(24):
+        if number % 8 == 0:
+            fleet.crashes += 1
+            guilty = fleet.broken_run((FIRST, BAD), number)
+            fleet.fabric.post(fleet.hosts[number % 13], guilty)
+        other = fleet.broken_run((f"p{number}",))._replace(id=f"x{number}")
+        fleet.fabric.post(fleet.hosts[number % 13], other)
+        fleet.fabric.run(0.1)
+    fleet.fabric.run(0.1)
+    assert fleet.blocking(FIRST, BAD)
+
+
 def test_one_request_that_is_cut_again_and_again_blames_nothing(fleet):
     for _ in range(4):
         fleet.crashes += 1
