Wait for answers on a part before a crash renews its block

What callers would see: a part whose block had ended, and on which answers have come to their end since, was blocked for a moment by any one answer that broke off. Cause: a renewal did not wait for what the hosts were asked. Evidence: the new test, which fails on the code before. Change: it waits as the first block does. Hosts also report answers on a blocked part only if they are fresh enough to end the block, which saves a message of each host in each second of a long block.

--- a/packages/hemlockreel/hemlockreel/forwarding/blocked_parts.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/blocked_parts.py
@@ -226,9 +226,13 @@
         yield from clear(board, part, now)
     for each in event.blocked:
         yield from block(board, each.part, each.for_s, each.times, now)
-    for part in [*event.suspected, *(each.part for each in event.blocked)]:
+    # Earlier answers matter too while a part is only suspected: they show
+    # which of its crashes came before.
+    asked = [(part, crash_evidence.EVIDENCE_S) for part in event.suspected]
+    asked += [(each.part, crash_evidence.SOUND_S) for each in event.blocked]
+    for part, max_age_s in asked:
         age_s = now - state.worked.get(part, -math.inf)
-        if age_s < crash_evidence.EVIDENCE_S:
+        if age_s < max_age_s:
             worked = messages.PartsWorked(
                 **board.sender_fields, parts=[part], age_s=age_s
             )
@@ -296,7 +300,7 @@
     relapsed = {
         part
         for each in state.evidence.breaks
-        if each.at > now - 2 * PERIOD_S
+        if now - 2 * PERIOD_S < each.at <= now - SETTLE_S
         for part in each.parts
         if part in state.earlier and part not in state.blocked
     }
--- a/packages/hemlockreel/hemlockreel/forwarding/crash_evidence.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/crash_evidence.py
@@ -86,10 +86,9 @@
 ) -> Part | None:
     """Returns the part that most likely crashes replicas, ``None`` if none.
 
-    Answers that broke off after ``until`` don't count yet.
-
-    Crashes under the ``explained`` parts blame no other part. Among equal
-    parts the later one of a prompt is shared by fewer requests.
+    Answers that broke off after ``until`` don't count yet. Crashes under the
+    ``explained`` parts blame no other part. Among equal parts the later one
+    of a prompt is shared by fewer requests.
     """
     known = set(explained)
     explained_runs = {
--- a/packages/hemlockreel/tests/forwarding/test_blocked_parts.py
+++ b/packages/hemlockreel/tests/forwarding/test_blocked_parts.py
@@ -98,6 +98,15 @@
             if blocked_parts.find_refusal(board, "lesar", parts, now)
         }
 
+    def blocked_count(self):
+        """Returns how often hosts have begun to block a part."""
+        logged = [
+            action
+            for host in self.hosts
+            for action in self.fabric.performed(host, actions.Log)
+        ]
+        return sum(each.event == "part_blocked" for each in logged)
+
     def sent(self):
         return sum(len(each) for each in self.fabric.sent.values())
 
@@ -247,6 +256,17 @@
     assert found.until - fleet.fabric.now > 1.9 * blocked_parts.BLOCK_S
 
 
+def test_a_part_that_works_after_its_block_is_not_blocked_by_one_crash(fleet):
+    for number in range(3):
+        fleet.crash((BAD,), at=number)
+    fleet.fabric.run(blocked_parts.BLOCK_S + 2.0)
+    fleet.complete(BAD)
+    logged = fleet.blocked_count()
+    fleet.crash((BAD,))
+    assert not fleet.blocking(BAD)
+    assert fleet.blocked_count() == logged
+
+
 def test_a_request_that_waited_is_checked_again_before_it_is_sent(fleet):
     board = fleet.fabric.boards[fleet.hosts[0]]
     listed = instances.InstancesListed((rigs.engine("d1", "decode"),))
