Take the permits of a reservation and of its run together

Cause: the reservation and the run each needed a permit; the reservations of other requests took the one that the run waited for, so no run got through, what was reserved was not released, and no answer ended the limit. Evidence: the lapses are all at the engine with the limit; the new test, in which no request is served on the code before. Change: both permits are taken with the reservation; the second is for the run or for the release.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
@@ -136,7 +136,9 @@
         try:
             return self._run_once(reserved, result)
         finally:
-            if not result.reservation_used and self.may_call(instance):
+            if not result.reservation_used and self.may_call(
+                instance, reserved.has_permit
+            ):
                 self.tools.backends.release_reservation(
                     instance, reserved.reservation_id
                 )
@@ -158,7 +160,7 @@
             if isinstance(prefilled, outcomes.Refused):
                 self._record.refused_runs = MAX_REFUSED_RUNS
                 return prefilled
-        refused = self._check_before_send(reserved.instance)
+        refused = self._check_before_send(reserved)
         if refused is not None:
             return refused
         left_s = self.left_s()
@@ -192,13 +194,14 @@
         return refused
 
     def _check_before_send(
-        self, instance: instances.Instance
+        self, reserved: reservation.Reservation
     ) -> outcomes.Refused | None:
         """Returns why the request may not be sent now, after its waits."""
         if self.box.stopped is not None:
             return outcomes.not_run(self.box.stopped.reason)
+        wait_s = PERMIT_WAIT_SHARE * self.job.route.objective_s
         unusable = self.check_usable(
-            instance, PERMIT_WAIT_SHARE * self.job.route.objective_s
+            reserved.instance, None if reserved.has_permit else wait_s
         )
         if unusable is None and not self._take_retry_if_sent():
             return self._out_of_budget()
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
@@ -171,16 +171,19 @@
                 return value
 
     def take_permit(
-        self, instance: instances.Instance, max_wait_s: float = 0.0
+        self,
+        instance: instances.Instance,
+        max_wait_s: float = 0.0,
+        calls: int = 1,
     ) -> outcomes.Refused | None:
-        """Waits until a replica that names a limit may get one more call.
+        """Waits until a replica that names a limit may get more calls.
 
         Returns the refusal if that is not so within ``max_wait_s``.
         """
         self._permits_asked += 1
         self.post(
             replica_limits.PermitRequested(
-                self._key, self._permits_asked, instance.id, max_wait_s
+                self._key, self._permits_asked, instance.id, max_wait_s, calls
             )
         )
         permit = self._receive(PERMIT_TIMEOUT_S)
@@ -205,11 +208,12 @@
         return None
 
     def check_usable(
-        self, instance: instances.Instance, max_wait_s: float
+        self, instance: instances.Instance, max_wait_s: float | None
     ) -> outcomes.Refused | None:
         """Returns why a selected replica may not get the request any more.
 
-        It waits up to ``max_wait_s`` for a replica that names a limit.
+        It waits up to ``max_wait_s`` for a replica that names a limit;
+        ``None`` if the request has its permit already.
         """
         demand = self.job.request.demand
         asked = replica_selection.UsabilityRequested(
@@ -221,7 +225,7 @@
         self.post(asked)
         value = self._receive(LOOP_TIMEOUT_S)
         if isinstance(value, replica_selection.Usable):
-            if value.limited:
+            if value.limited and max_wait_s is not None:
                 return self.take_permit(instance, max_wait_s)
             return None
         if isinstance(value, outcomes.Refused):
@@ -244,7 +248,9 @@
         time.sleep(wait_s)
         return self.box.stopped is None
 
-    def may_call(self, instance: instances.Instance) -> bool:
+    def may_call(
+        self, instance: instances.Instance, has_permit: bool = False
+    ) -> bool:
         """Returns whether a replica may get calls that free what it holds.
 
         One that has stated that it leaves and one that asked for a pause get
@@ -252,7 +258,7 @@
         """
         return self.tools.daemon.loop.query(
             lambda board: replica_selection.may_call(
-                board, instance, clock.now()
+                board, instance, clock.now(), has_permit
             )
         )
 
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/reservation.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/reservation.py
@@ -26,11 +26,16 @@
 
 
 class Reservation(NamedTuple):
-    """Memory and a slot at a decode replica."""
+    """Memory and a slot at a decode replica.
+
+    ``has_permit`` is set if the replica names a limit, and permits were taken
+    for the reservation and for the call that uses or releases it.
+    """
 
     instance: instances.Instance
     reservation_id: str
     tokens: int
+    has_permit: bool = False
 
 
 def reserve(
@@ -62,14 +67,17 @@
                 "the replicas that this attempt may go to are not usable",
             )
         for instance in eligible[:MAX_ASKED]:
+            is_limited = instance.id in found.limited
             if (
-                instance.id in found.limited
-                and handler.take_permit(instance) is not None
+                is_limited
+                and handler.take_permit(instance, calls=2) is not None
             ):
                 continue
             reservation_id = _try_reserve(handler, instance, tokens)
             if reservation_id is not None:
-                return Reservation(instance, reservation_id, tokens)
+                return Reservation(
+                    instance, reservation_id, tokens, is_limited
+                )
             if handler.box.stopped is not None:
                 break
         left_s = handler.left_s()
--- a/packages/hemlockreel-daemon/tests/forwarding/test_replica_limits.py
+++ b/packages/hemlockreel-daemon/tests/forwarding/test_replica_limits.py
@@ -41,3 +41,14 @@
     assert {handle(rig).status for _ in range(20)} == {200}
     at = [replica for _, replica, _ in rig.backends.sent]
     assert at.count("s1") <= 2
+
+
+def test_an_engine_with_a_limit_runs_what_it_reserved_memory_for():
+    """Its reservations took all permits, so that no run ended the limit."""
+    rig = rigs.Rig(rigs.engine("p1", "prefill"), rigs.engine("d1", "decode"))
+    rig.loop.post(replica_limits.LimitStated("d1", 0, 3.4))
+    found = [rig.handle_request() for _ in range(4)]
+    served = [each for each in found if each.status == 200]
+    assert served
+    held = rig.backends.count("hold")
+    assert rig.backends.count("decode") == held == len(served)
--- a/packages/hemlockreel/hemlockreel/forwarding/replica_limits.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/replica_limits.py
@@ -48,7 +48,7 @@
 
 
 class PermitRequested(NamedTuple):
-    """A worker wants to send a request to the replica ``id``.
+    """A worker wants to make ``calls`` calls to the replica ``id``.
 
     The reply is a :class:`Permit`.
     """
@@ -57,6 +57,7 @@
     number: int
     id: str
     max_wait_s: float
+    calls: int = 1
 
 
 class Permit(NamedTuple):
@@ -193,6 +194,7 @@
         born=limit.born,
         rate=limit.rate,
         max_wait_s=event.max_wait_s,
+        calls=event.calls,
     )
     yield actions.Send(_giver(board, event.id), asked)
 
@@ -214,7 +216,8 @@
     )
     after_s = max(0.0, (1.0 - permits) / rate)
     granted = after_s <= event.max_wait_s
-    state.buckets[key] = Bucket(permits - granted, now)
+    calls = max(1, event.calls) if granted else 0
+    state.buckets[key] = Bucket(permits - calls, now)
     if len(state.buckets) > 1:
         _forget_old(state, now)
     given = messages.PermitGiven(
--- a/packages/hemlockreel/hemlockreel/forwarding/replica_selection.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/replica_selection.py
@@ -338,18 +338,21 @@
 
 
 def may_call(
-    board: boards.Board, instance: instances.Instance, now: float
+    board: boards.Board,
+    instance: instances.Instance,
+    now: float,
+    has_permit: bool = False,
 ) -> bool:
     """Returns whether ``instance`` wants calls that free what it holds.
 
     It wants none after it has stated that it leaves, or asked for a pause,
-    and while it names a limit.
+    and while it names a limit, unless the call ``has_permit``.
     """
     state = board.state(instances.State)
     return not (
         instances.has_said_so(state, instance)
         or replica_pauses.is_paused(board, instance, now)
-        or instance.id in replica_limits.limited(board)
+        or (not has_permit and instance.id in replica_limits.limited(board))
     )
 
 
--- a/packages/hemlockreel/hemlockreel/messages/limits.py
+++ b/packages/hemlockreel/hemlockreel/messages/limits.py
@@ -19,10 +19,10 @@
 
 
 class PermitAsked(shared.Message):
-    """A host wants to send one request to a replica with a limit.
+    """A host wants to make ``calls`` calls to a replica with a limit.
 
     ``key`` identifies the answer, ``rate`` is the limit as this host knows
-    it. The request can wait for ``max_wait_s``.
+    it. The first call can wait for ``max_wait_s``.
     """
 
     key: str
@@ -30,6 +30,7 @@
     born: int
     rate: float
     max_wait_s: float
+    calls: int = 1
 
 
 class PermitGiven(shared.Message):
