Leave requests to the next owner while a joined host knows no replicas

What callers saw: while a host joined under load, a request was refused with "no backend server", not run, though all engines were there.

Cause: other hosts rank a host as the owner of a shard as soon as it has joined. An admission request that reaches it before it has a host list or a configuration found no shard, and the owner's answer for a shard without replicas was sent.

Change: such a host doesn't answer, and the entry sends the request to the next owner after 0.3 s, as it does when an owner is silent. A message that declines was ruled out: two hosts that know nothing would send a request to and fro.

The core's tests pass.

--- a/packages/hemlockreel/hemlockreel/owner.py
+++ b/packages/hemlockreel/hemlockreel/owner.py
@@ -10,14 +10,17 @@
 
 from collections.abc import Iterable
 import functools
+import math
 from typing import Any
 
 from . import actions
 from . import board as boards
 from . import cancels
+from . import configuration
 from . import decisions
 from . import events
 from . import grants
+from . import host_list
 from . import leases
 from . import ledger
 from . import messages
@@ -46,8 +49,12 @@
 ) -> Iterable[actions.Action]:
     """Submits an admission request to the ledger of its shard.
 
-    A resent request gets its grant again, or stays in the queue.
+    A resent request gets its grant again, or stays in the queue. A host that
+    has just joined doesn't answer before it knows the replicas: the entry
+    then asks the next owner.
     """
+    if not _knows_replicas(board, now):
+        return
     state = board.state(grants.State)
     state.leases.renew((event.sender, event.epoch), now)
     key = (event.request_id, event.attempt)
@@ -78,6 +85,12 @@
         yield _queued_message(board, event)
 
 
+def _knows_replicas(board: boards.Board, now: float) -> bool:
+    return configuration.current(board) is not None and math.isfinite(
+        host_list.reading_age_s(board, now)
+    )
+
+
 @handle.register
 def _request_withdrawn(
     event: messages.Withdraw, board: boards.Board, now: float
--- a/packages/hemlockreel/tests/test_ownership.py
+++ b/packages/hemlockreel/tests/test_ownership.py
@@ -302,10 +302,8 @@
     assert fleet.granted_by(new) == 1
 
 
-def test_queued_requests_of_a_draining_owner_go_to_the_next_one():
-    fleet = fleet_fabric.Fleet()
-    owner, entry = fleet.roles(SHARD)
-    state = fleet.fabric.boards[owner].state(grants.State)
+def track_request(fleet, entry, owner, resend_in_s):
+    """Returns a request that ``entry`` is about to send to ``owner``."""
     request = messages.AdmissionRequest(
         sender=entry,
         epoch=fleet.fabric.boards[entry].identity.epoch,
@@ -316,9 +314,17 @@
     )
     tracked = entries.Request(request, [owner], fleet.fabric.now)
     tracked.deadline = fleet.fabric.now + 60.0
-    tracked.resend_at = fleet.fabric.now + 60.0
+    tracked.resend_at = fleet.fabric.now + resend_in_s
     at_entry = fleet.fabric.boards[entry].state(entries.State)
     at_entry.requests["r1"] = tracked
+    return request
+
+
+def test_queued_requests_of_a_draining_owner_go_to_the_next_one():
+    fleet = fleet_fabric.Fleet()
+    owner, entry = fleet.roles(SHARD)
+    state = fleet.fabric.boards[owner].state(grants.State)
+    request = track_request(fleet, entry, owner, resend_in_s=60.0)
     grants.open_ledger(fleet.fabric.boards[owner], SHARD)
     state.waiting["r1", 1] = grants.WaitingRequest(SHARD, request, 1e9)
     fleet.fabric.post(owner, events.DrainRequested())
@@ -327,6 +333,18 @@
     assert fleet.replies["r1"].sender == fleet.roles(SHARD)[0] != owner
 
 
+def test_owner_that_knows_no_replicas_yet_refuses_no_request():
+    """A host that joined was "no backend server" to callers of others."""
+    fleet = fleet_fabric.Fleet()
+    owner, entry = fleet.roles(SHARD)
+    fleet.start(4)
+    joined = fleet_fabric.host(4)
+    request = track_request(fleet, entry, joined, resend_in_s=0.3)
+    fleet.fabric.post(joined, request)
+    fleet.fabric.run(1.0)
+    assert isinstance(fleet.replies["r1"], messages.Grant)
+
+
 def test_late_heartbeat_does_not_restore_a_revoked_grant():
     fleet = fleet_fabric.Fleet()
     owner, entry = fleet.roles(SHARD)
--- a/standins/hemlockreel_standins/processes.py
+++ b/standins/hemlockreel_standins/processes.py
@@ -1,5 +1,6 @@
 """Starts and stops the processes of a deployment, for tests and the demo."""
 
+from collections.abc import Iterable
 from http import client
 import json
 import os
@@ -106,6 +107,16 @@
             process.kill()
         self._folder.cleanup()
 
+    def logged(self, texts: Iterable[str]) -> list[str]:
+        """Returns the lines of all logs with one of ``texts``."""
+        wanted = list(texts)
+        return [
+            f"{process.name}: {line}"
+            for process in self.processes
+            for line in process.log.read_text().splitlines()
+            if any(text in line for text in wanted if text)
+        ]
+
     def add_replica(
         self,
         service: str,
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -176,5 +176,6 @@
             stopping.set()
         turns = [each.result() for each in loads]
     assert codes == [0, 0]
-    assert faults == []
+    ids = [received.request_id for _, received in faults]
+    assert faults == [], "\n".join(hosts.logged(ids))
     assert all(turns)
