--- a/packages/hemlockreel/tests/test_ownership.py
+++ b/packages/hemlockreel/tests/test_ownership.py
@@ -336,7 +336,7 @@
 def test_owner_that_knows_no_replicas_yet_refuses_no_request():
     """A host that joined was "no backend server" to callers of others."""
     fleet = fleet_fabric.Fleet()
-    owner, entry = fleet.roles(SHARD)
+    _, entry = fleet.roles(SHARD)
     fleet.start(4)
     joined = fleet_fabric.host(4)
     request = track_request(fleet, entry, joined, resend_in_s=0.3)
