Test blame for a part with lost messages and killed judges

PROOFS.md said that judges killed between two crashes and lost messages were only met in the soak. Two tests now show on 13 simulated hosts that a part is blocked at all of them by its fifth crash, with three in ten messages lost (8 seeds) and with the first judge killed after each crash.

--- a/packages/hemlockreel/tests/forwarding/test_blocked_parts.py
+++ b/packages/hemlockreel/tests/forwarding/test_blocked_parts.py
@@ -244,6 +244,31 @@
     assert away in fleet.blocking(BAD)
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_all_hosts_block_a_part_while_messages_are_lost(seed):
+    """BUDGET while a third of all messages between hosts are lost."""
+    fleet = Fleet()
+    fleet.fabric.rng.seed(seed)
+    fleet.fabric.loss = 0.3
+    for number in range(5):
+        fleet.crash((FIRST, BAD), at=2 * number)
+    fleet.fabric.run(SETTLED_S)
+    assert fleet.blocking(FIRST, BAD) == set(fleet.hosts)
+
+
+def test_all_hosts_block_a_part_while_judges_are_killed(fleet):
+    """BUDGET while a host that judges is killed after each crash."""
+    for _ in range(5):
+        board = next(iter(fleet.fabric.boards.values()))
+        judge = blocked_parts.judges(board)[0]
+        reporting = next(host for host in fleet.hosts if host != judge)
+        fleet.crash((FIRST, BAD), at=fleet.hosts.index(reporting))
+        fleet.fabric.kill(judge)
+        fleet.hosts.remove(judge)
+        fleet.fabric.run(SETTLED_S)
+    assert fleet.blocking(FIRST, BAD) == set(fleet.hosts)
+
+
 def test_the_first_crash_after_a_block_renews_it_for_longer(fleet):
     for number in range(3):
         fleet.crash((BAD,), at=number)
