--- a/packages/hemlockreel/tests/forwarding/test_blocked_parts.py
+++ b/packages/hemlockreel/tests/forwarding/test_blocked_parts.py
@@ -5,121 +5,29 @@
 
 import pytest
 
-from hemlockreel import actions
 from hemlockreel import core
-from hemlockreel import events
 from hemlockreel import outcomes
-from hemlockreel import store_era
-from hemlockreel_standins import fabric
 from hemlockreel_standins import forwarding_rig as rigs
+from hemlockreel_standins import parts_rig
 
-from hemlockreel.forwarding import block_records
 from hemlockreel.forwarding import blocked_parts
 from hemlockreel.forwarding import instances
 from hemlockreel.forwarding import ranking
 from hemlockreel.forwarding import replica_selection
 
 FIRST, BAD, SUBJECT = "5c1e07a2", "bad", "91bd3f06"
-SETTLED_S = 3.0  # the platform's stability_ms
-
-
-class Fleet:
-    """Hosts on a simulated network, with a store and numbered crashes."""
-
-    def __init__(self, hosts=13):
-        self.fabric = fabric.Fabric()
-        self.fabric.step = lambda board, event, now: core.step(
-            board, event, now, core.FORWARDING_CONTROLLERS
-        )
-        self.fabric.call = self._call
-        self.objects = {}
-        self.revision = 5
-        self.era = 1
-        self.calls = 0
-        self.crashes = 0
-        self.hosts = [f"10.0.0.{number}:9" for number in range(hosts)]
-        self.start(self.hosts)
-
-    def start(self, hosts, run=1):
-        """Starts hosts anew, all at once, and lets them find each other."""
-        for host in hosts:
-            self.fabric.add(host, seeds=tuple(self.hosts[:3]), epoch=run)
-        self.fabric.run(SETTLED_S)
-
-    def _call(self, host, action):
-        if not isinstance(action, actions.CallStore):
-            return None
-        if block_records.KIND not in action.path:
-            return events.StoreResponded(action.call_id, 503, {}, era=self.era)
-        self.calls += 1
-        status, body = self._respond(action)
-        return events.StoreResponded(
-            action.call_id, status, body, era=self.era
-        )
-
-    def _respond(self, action):
-        found = self.objects.get(action.path)
-        if action.method == "PUT":
-            if action.expected != (found["version"] if found else 0):
-                return 412, {}
-            self.revision += 1
-            found = {"version": self.revision, "value": action.value}
-            self.objects[action.path] = found
-        return (200, {"object": found}) if found else (404, {})
-
-    def crash(self, *broken, at=0):
-        """Crashes a replica under requests, given as lists of parts.
-
-        Their hosts differ, beginning with number ``at``.
-        """
-        self.crashes += 1
-        for number, parts in enumerate(broken):
-            host = self.hosts[(at + number) % len(self.hosts)]
-            self.fabric.post(host, self.broken_run(parts, number))
-        self.fabric.run(1.2)
-
-    def broken_run(self, parts, number=0):
-        return blocked_parts.RunBroken(
-            "lesar", f"r{self.crashes}-{number}", f"d{self.crashes}", 7,
-            tuple(parts), 0.1,
-        )  # fmt: skip
-
-    def complete(self, *parts, at=-1, seconds=1.0):
-        done = blocked_parts.RunCompleted("lesar", parts, seconds)
-        self.fabric.post(self.hosts[at], done)
-        self.fabric.run(0.1)
-
-    def blocking(self, *parts):
-        """Returns the hosts that refuse a prompt with ``parts``."""
-        now = self.fabric.now
-        return {
-            host
-            for host, board in self.fabric.boards.items()
-            if blocked_parts.find_refusal(board, "lesar", parts, now)
-        }
-
-    def blocked_count(self):
-        """Returns how often hosts have begun to block a part."""
-        logged = [
-            action
-            for host in self.hosts
-            for action in self.fabric.performed(host, actions.Log)
-        ]
-        return sum(each.event == "part_blocked" for each in logged)
-
-    def sent(self):
-        return sum(len(each) for each in self.fabric.sent.values())
+SETTLED_S = parts_rig.SETTLED_S
 
 
 @pytest.fixture
 def fleet():
-    return Fleet()
+    return parts_rig.Fleet()
 
 
 @pytest.mark.parametrize("hosts", [13, 195])
 def test_all_hosts_block_a_part_before_five_crashes_are_old(hosts):
     """BUDGET of issue 23: requests with one part ended engine after engine."""
-    fleet = Fleet(hosts)
+    fleet = parts_rig.Fleet(hosts)
     fleet.complete(FIRST, SUBJECT)
     for number in range(3):
         fleet.crash((FIRST, BAD), (FIRST, f"other{number}"), at=5 * number)
@@ -132,7 +40,7 @@
     """No cost that grows with hosts x hosts."""
     counts = []
     for hosts in (20, 80):
-        fleet = Fleet(hosts)
+        fleet = parts_rig.Fleet(hosts)
         before = fleet.sent()
         fleet.fabric.run(1.2)
         idle = fleet.sent() - before
@@ -217,10 +125,7 @@
     for number in range(3):
         fleet.crash((BAD,), at=number)
     if restored:
-        fleet.objects.clear()
-        fleet.era += 1
-        for host in fleet.hosts:
-            fleet.fabric.post(host, store_era.EraSeen(fleet.era))
+        fleet.lose_store()
         fleet.fabric.run(3.0)
     for host in fleet.hosts:
         fleet.fabric.kill(host)
@@ -247,7 +152,7 @@
 @pytest.mark.parametrize("seed", range(8))
 def test_all_hosts_block_a_part_while_messages_are_lost(seed):
     """BUDGET while a third of all messages between hosts are lost."""
-    fleet = Fleet()
+    fleet = parts_rig.Fleet()
     fleet.fabric.rng.seed(seed)
     fleet.fabric.loss = 0.3
     for number in range(5):
