Log why attempts of completions fail and what takeovers cancel

The logs could not tell whether the engine had changed its role or its request was cancelled, nor by whom.

So the engine's reason is in the detail of a refused prefill, an attempt that is given up logs the replicas it leaves out and those that confirmed nothing, a refused decode logs its detail, and a takeover logs which request it cancels and which hosts had not answered.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/completion_handler.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/completion_handler.py
@@ -286,6 +286,13 @@
         if unconfirmed:
             unconfirmed = [grant.prefill, grant.replica]
         self.excluded_on_retry = tuple({*exclude, *unconfirmed})
+        fields = {
+            "request_id": self._job.request_id,
+            "attempt": self._number,
+            "excluded": sorted(self.excluded_on_retry),
+            "unconfirmed": sorted(unconfirmed),
+        }
+        logs.write("attempt_failed", fields)
 
 
 def run_traced(
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/decoding.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/decoding.py
@@ -164,6 +164,7 @@
                 self._box,
             )
         if isinstance(response, backends.DecodeFailure):
+            self._log_cut(response.detail)
             return self._classify_failure(response)
         return response
 
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/engine_client.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/engine_client.py
@@ -104,8 +104,9 @@
         if isinstance(result, http_calls.CallFailed):
             return backends.PrefillFailure(result.sent, result.detail)
         if result[0] != OK:
-            detail = f"the engine answered {result[0]}"
-            return backends.PrefillFailure(True, detail)
+            return backends.PrefillFailure(
+                True, _describe_error(result[0], result[1])
+            )
         return _parse_prefill_response(request, result[1])
 
     def decode(
@@ -182,6 +183,16 @@
         return isinstance(body, dict) and body.get("held") is False
 
 
+def _describe_error(status: int, body: object) -> str:
+    """Returns an engine's error as text, with its reason if it names one.
+
+    >>> _describe_error(409, {"error": "cancelled"})
+    'the engine answered 409 cancelled'
+    """
+    reason = body.get("error", "") if isinstance(body, dict) else ""
+    return f"the engine answered {status} {reason}".rstrip()
+
+
 def _parse_prefill_response(
     request: backends.PrefillRequest, body: object
 ) -> backends.Prefilled | backends.PrefillFailure:
--- a/packages/hemlockreel-daemon/tests/test_engine_client.py
+++ b/packages/hemlockreel-daemon/tests/test_engine_client.py
@@ -51,6 +51,21 @@
     assert prefill() == backends.Prefilled("handle", 2, 0)
 
 
+@pytest.mark.parametrize(
+    "body, detail",
+    [
+        ({"error": "cancelled"}, "the engine answered 409 cancelled"),
+        ({}, "the engine answered 409"),
+        ("text", "the engine answered 409"),
+    ],
+)
+def test_refused_prefill_names_the_reason_of_the_engine(
+    set_response, body, detail
+):
+    set_response((409, body, {}))
+    assert prefill() == backends.PrefillFailure(True, detail)
+
+
 @pytest.mark.parametrize(
     "found",
     [
--- a/packages/hemlockreel/hemlockreel/takeover.py
+++ b/packages/hemlockreel/hemlockreel/takeover.py
@@ -332,6 +332,12 @@
             state.next_list_at[address] = now + DISPUTED_RELIST_S
             continue
         yield actions.Count("orphans")
+        fields = {
+            "request_id": request_id,
+            "replica": address,
+            "silent_hosts": sorted(pending),
+        }
+        yield actions.Log("orphan_cancelled", fields)
         yield from cancels.start(board, address, request_id, None, now)
 
 
