Keep grants that were made while their entry listed its own

What callers saw: a request in progress was cancelled at its engines without a cause ("409 cancelled"), and where there was one prefill engine, the second attempt got "no backend server".

Cause: when an entry's heartbeat doesn't match, the owner asks it for the list of its grants and revokes those that are not in it. A grant that is made between the question and the list is on its way to the entry; the list lacks it, so it was revoked and its request cancelled. Hand-overs make such mismatches, and load makes the time between the two longer.

Change: the owner remembers the grants that it had when it asked, and a list ends only these. Of several questions the first counts until its list has come, so an older list ends nothing newer. A lost list delays the end of a lost grant by a heartbeat.

--- a/packages/hemlockreel/hemlockreel/renewal.py
+++ b/packages/hemlockreel/hemlockreel/renewal.py
@@ -33,10 +33,16 @@
 
 
 class State:
-    """The final queries that are open, by entry."""
+    """The final queries that are open, by entry.
+
+    ``compared`` holds the grants that an entry had here when it was asked to
+    list its own. One that was made since may still be on its way to the
+    entry, so that the list lacks it.
+    """
 
     def __init__(self):
         self.final_queries: dict[leases.EntryRun, FinalQuery] = {}
+        self.compared: dict[leases.EntryRun, frozenset[int]] = {}
 
 
 @functools.singledispatch
@@ -60,6 +66,10 @@
     all_leases.renew(entry, now)
     count, digest = all_leases.summary(entry)
     if (count, digest) != (event.count, event.digest):
+        # Of several lists that are on their way, this is for the first one.
+        board.state(State).compared.setdefault(
+            entry, frozenset(all_leases.grant_ids_of(entry))
+        )
         mismatch = messages.HeartbeatMismatch(
             **board.sender_fields, count=count
         )
@@ -72,14 +82,17 @@
 ) -> Iterable[actions.Action]:
     """Reconciles the grants of an entry with its list.
 
-    Grants that the entry does not list are revoked. Listed grants that have
-    ended here are reported to it as revoked. It is queried about the other
-    unknown ones, and the grants that it then reports are adopted.
+    Grants that the entry had when it was asked and does not list are revoked.
+    Listed grants that have ended here are reported to it as revoked. It is
+    queried about the other unknown ones, and the grants that it then reports
+    are adopted.
     """
     all_leases = board.state(grants.State).leases
+    entry = (event.sender, event.epoch)
+    compared = board.state(State).compared.pop(entry, frozenset())
     listed = set(event.grant_ids)
-    known = set(all_leases.grant_ids_of((event.sender, event.epoch)))
-    for grant_id in sorted(known - listed):
+    known = set(all_leases.grant_ids_of(entry))
+    for grant_id in sorted((known & compared) - listed):
         yield from grants.revoke(board, grant_id, now)
     revoked = []
     unknown = []
@@ -168,6 +181,9 @@
     expired = all_leases.expired_entries(now)
     for entry in set(state.final_queries) - set(expired):
         del state.final_queries[entry]
+    if state.compared:
+        for entry in set(state.compared) - set(all_leases.entries()):
+            del state.compared[entry]
     for entry in expired:
         query = state.final_queries.get(entry)
         is_overdue = query is not None and query.deadline <= now
--- a/packages/hemlockreel/tests/test_ownership.py
+++ b/packages/hemlockreel/tests/test_ownership.py
@@ -216,6 +216,23 @@
     assert fleet.granted_by(owner) == 0
 
 
+def test_grant_made_while_an_entry_lists_its_grants_is_kept(fleet):
+    """Requests were cancelled as their entry's list was older than them."""
+    owner, entry = fleet.roles(SHARD)
+    fleet.request_completion(entry, "r1")
+    heartbeat = messages.Heartbeat(
+        sender=entry,
+        epoch=fleet.fabric.boards[entry].identity.epoch,
+        count=2,
+        digest=1,
+    )
+    fleet.fabric.post(owner, heartbeat)
+    fleet.request_completion(entry, "r2")
+    fleet.fabric.run(1.0)
+    assert fleet.holders("r1") and fleet.holders("r2")
+    assert fleet.cancelled == []
+
+
 def test_grant_whose_message_is_lost_is_revoked(fleet):
     owner, entry = fleet.roles(SHARD)
     fleet.fabric.cut({owner}, {entry})
