--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/exchanges.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/exchanges.py
@@ -48,6 +48,7 @@
             self._request.method.decode("latin-1"),
             self._request.uri.decode("latin-1"),
             lines,
+            self._request.conn.remote_addr or "",
         )
 
     def read_body(self) -> bytes:
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/interfaces.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/interfaces.py
@@ -21,11 +21,13 @@
     """The head of a caller's request as received.
 
     ``target`` is the path and query, ``lines`` are the header fields in order.
+    ``peer`` is the IP address that the connection comes from.
     """
 
     method: str
     target: str
     lines: tuple[tuple[str, str], ...]
+    peer: str = ""
 
 
 class Demand(NamedTuple):
@@ -34,13 +36,14 @@
     ``max_output`` limits the output. ``estimated_output`` is the caller's
     estimate, or the limit if it gave none. ``shared_parts`` are the ids of
     the prompt's parts that other requests may have too, in order: all but the
-    last, which belongs to this request or its session.
+    last, ``own_part``, which belongs to this request or its session.
     """
 
     prompt: int
     max_output: int
     estimated_output: int
     shared_parts: tuple[str, ...] = ()
+    own_part: str = ""
 
 
 class CallerRequest(NamedTuple):
@@ -49,7 +52,8 @@
     ``headers`` are those to forward. ``deadline_s`` is the time that the
     caller waits, ``None`` if not given. ``demand`` is set for a request to a
     model. ``resume_after`` is the id of the last event that the caller has
-    received.
+    received. ``caller`` identifies who sent the request, as far as that can
+    be told.
     """
 
     id: str
@@ -62,6 +66,7 @@
     deadline_s: float | None
     demand: Demand | None
     resume_after: str
+    caller: str = ""
 
 
 class InvalidRequest(NamedTuple):
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/plain_requests.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/plain_requests.py
@@ -151,11 +151,13 @@
                         self.post(replica_selection.ConnectFailed(instance.id))
                     return None
                 self._note_sent(instance, head.ran)
+                if head.connection_lost:
+                    self._report_broken(instance, head.detail)
                 if head.instance_mismatch:
                     self.post(replica_selection.InstanceMismatch(instance.id))
                 return request_handler.refusal_for(head)
             self._note_sent(instance, interfaces.Ran.UNKNOWN)
-            result = self._read(head)
+            result = self._read(instance, head)
             succeeded = (
                 isinstance(result, Response) and result.status < SERVER_ERROR
             )
@@ -174,8 +176,22 @@
         self.tried.append(instance.id)
         self.ran = self.ran or ran is interfaces.Ran.UNKNOWN
 
+    def _report_broken(
+        self, instance: instances.Instance, detail: str
+    ) -> None:
+        """Logs that a replica broke the request off."""
+        if self.box.stopped is not None:
+            return
+        self.log(
+            "run_broken",
+            replica=instance.id,
+            born=instance.born,
+            detail=detail,
+            parts=self.content_keys,
+        )
+
     def _read(
-        self, head: interfaces.ResponseHead
+        self, instance: instances.Instance, head: interfaces.ResponseHead
     ) -> Response | outcomes.Refused:
         """Returns the complete response, or the refusal for a partial one."""
         try:
@@ -184,6 +200,8 @@
             return Response(head.status, head.headers, body)
         except http_calls.CALL_ERRORS as error:
             failed = http_calls.to_failure(error)
+            if not failed.timed_out:
+                self._report_broken(instance, failed.detail)
             return request_handler.refusal_for(
                 interfaces.SendFailure(
                     interfaces.Ran.UNKNOWN, failed.detail, failed.timed_out
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
@@ -20,6 +20,7 @@
 from .. import daemon as daemons
 from .. import logs
 from .. import mailbox
+from . import content_keys
 from . import exchanges
 from . import interfaces
 
@@ -87,7 +88,8 @@
 
     ``sent`` counts the replicas that received the request, ``tried`` lists
     their ids, and ``ran`` is set if one of them may have executed it. ``box``
-    receives the replies of the loop and the signal to stop.
+    receives the replies of the loop and the signal to stop. ``content_keys``
+    recognise the same request when it is sent again.
     """
 
     def __init__(
@@ -103,6 +105,7 @@
         self.exchange = exchange
         self.box = box
         self._key = key
+        self.content_keys = content_keys.find(job.request)
         self.sent = 0
         self.ran = False
         self.tried: list[str] = []
--- a/packages/hemlockreel/hemlockreel/forwarding/blocked_parts.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/blocked_parts.py
@@ -39,6 +39,7 @@
 # How long a part that was cleared can't be blocked, until all judges know it.
 CLEARED_S = 5.0
 MAX_BLOCKED = 1024
+REQUEST_PREFIX = "request:"  # of ids that stand for whole requests
 MAX_WORKED = 4096  # parts that a host remembers answers on
 
 Part = crash_evidence.Part
--- a/tests/hemlockreel_platform/test_callers.py
+++ b/tests/hemlockreel_platform/test_callers.py
@@ -42,6 +42,17 @@
         ("Hemlockreel-Prompt-Prefix", "5C1E07a2:800, 91bd3f06:410,e4402b7d:2"),
     )
     assert request.demand.shared_parts == ("5c1e07a2", "91bd3f06")
+    assert request.demand.own_part == "e4402b7d"
+
+
+def test_the_address_and_credentials_tell_callers_apart():
+    head = interfaces.Head("GET", "/a", LINES, "10.9.0.1")
+    named = head._replace(lines=(*LINES, ("Authorization", "Bearer 7")))
+    other = head._replace(peer="10.9.0.2")
+    decoder = callers.Callers()
+    found = [decoder.decode(each, b"").caller for each in (head, named, other)]
+    assert len(set(found)) == 3
+    assert decoder.decode(head, b"x").caller == found[0]
 
 
 def test_output_estimate_defaults_to_the_maximum():
