--- a/standins/hemlockreel_standins/fabric.py
+++ b/standins/hemlockreel_standins/fabric.py
@@ -108,14 +108,15 @@
             self._push(self.now, host, events.CallersCounted(0))
         for action in self.step(self.boards[host], event, self.now):
             if isinstance(action, actions.Send):
-                self._send(host, action)
+                self.send(host, action)
                 continue
             self.done[host].append((self.now, action))
             response = self.call(host, action)
             if response is not None:
                 self._push(self.now + self.delay, host, response)
 
-    def _send(self, sender: str, action: actions.Send) -> None:
+    def send(self, sender: str, action: actions.Send) -> None:
+        """Sends a message of a host, unless it is lost."""
         self.sent.setdefault(sender, []).append(action)
         if sender == action.to:
             self._push(self.now, sender, action.message)
