Block a request that crashes the servers which run it

Cause: crashes were connected only by parts of model prompts, so each host took each crash for a failed server and sent the request to the next one, twice for each attempt of a lookup.

A whole request is now one more kind of part, known by its content, in the same evidence, judgement, record in the store and refusal. Requests that can't be told apart, since each crash cut them all, are blocked for a short time together. A request that broke off at two replicas is not tried again at a third within one attempt. Judges ask only about what broke off twice, since most plain requests break off once and never come again.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
@@ -8,7 +8,6 @@
 
 from hemlockreel import outcomes
 
-from hemlockreel.forwarding import blocked_parts
 from hemlockreel.forwarding import instances
 from hemlockreel.forwarding import replica_selection
 
@@ -119,7 +118,7 @@
         route = self.job.route
         if self.left_s() <= 0:
             return False
-        if refused.reason is outcomes.Reason.PROMPT_BLOCKED:
+        if refused.reason in request_handler.BLOCKED:
             return False
         if refused.ran is outcomes.Ran.NOT_RUN:
             self._record.refused_runs += 1
@@ -188,7 +187,7 @@
         if refused is None:
             # Without framing, this may be the first part of an answer.
             if head.framed and self._record.events > events:
-                self._report_complete(clock.now() - sent_at)
+                self.report_complete(clock.now() - sent_at)
         elif refused.reason is outcomes.Reason.BACKEND_FAILED:
             self._report_broken(reserved.instance, refused.detail)
         return refused
@@ -207,42 +206,15 @@
             return self._out_of_budget()
         return unusable
 
-    def _report_complete(self, seconds: float) -> None:
-        """Reports to the loop that a run has written its whole answer."""
-        parts = self.job.request.demand.shared_parts
-        if parts:
-            self.post(
-                blocked_parts.RunCompleted(
-                    self.job.service.name, parts, seconds
-                )
-            )
-
     def _report_broken(
         self, instance: instances.Instance, detail: str
     ) -> None:
-        """Reports to the loop, and logs, that a replica broke a run off."""
-        parts = self.job.request.demand.shared_parts
-        written_s = self._record.written_s(clock.now())
-        self.log(
-            "run_broken",
-            replica=instance.id,
-            born=instance.born,
-            written_ms=round(written_s * 1000),
-            last_event=self._record.last_event_id,
-            detail=detail,
-            parts=parts,
+        self.report_broken(
+            instance,
+            detail,
+            self._record.written_s(clock.now()),
+            self._record.last_event_id,
         )
-        if parts:
-            self.post(
-                blocked_parts.RunBroken(
-                    self.job.service.name,
-                    self.job.request.id,
-                    instance.id,
-                    instance.born,
-                    parts,
-                    written_s,
-                )
-            )
 
     def _take_retry_if_sent(self) -> bool:
         """Takes a retry from the budget, unless this is the first attempt."""
@@ -281,7 +253,7 @@
             result.succeeded = False
             self._record.prefill_result = None
             self._note_sent(instance)
-            if found.connection_lost and self.box.stopped is None:
+            if found.connection_lost:
                 self._report_broken(instance, found.detail)
         elif found.pause_s:
             # The replica is overloaded, which says nothing about its list
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/plain_requests.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/plain_requests.py
@@ -135,6 +135,7 @@
         if route.repeatable and self.sent + 1 < route.max_attempts:
             left_s *= FIRST_ATTEMPT_SHARE
         self.post(replica_selection.SendStarted(instance.id))
+        sent_at = clock.now()
         succeeded: bool | None = False
         try:
             head = self.tools.backends.send(
@@ -152,12 +153,15 @@
                     return None
                 self._note_sent(instance, head.ran)
                 if head.connection_lost:
-                    self._report_broken(instance, head.detail)
+                    self.report_broken(instance, head.detail)
                 if head.instance_mismatch:
                     self.post(replica_selection.InstanceMismatch(instance.id))
                 return request_handler.refusal_for(head)
             self._note_sent(instance, interfaces.Ran.UNKNOWN)
             result = self._read(instance, head)
+            # Without framing, this may be the first part of an answer.
+            if isinstance(result, Response) and head.framed:
+                self.report_complete(clock.now() - sent_at)
             succeeded = (
                 isinstance(result, Response) and result.status < SERVER_ERROR
             )
@@ -176,20 +180,6 @@
         self.tried.append(instance.id)
         self.ran = self.ran or ran is interfaces.Ran.UNKNOWN
 
-    def _report_broken(
-        self, instance: instances.Instance, detail: str
-    ) -> None:
-        """Logs that a replica broke the request off."""
-        if self.box.stopped is not None:
-            return
-        self.log(
-            "run_broken",
-            replica=instance.id,
-            born=instance.born,
-            detail=detail,
-            parts=self.content_keys,
-        )
-
     def _read(
         self, instance: instances.Instance, head: interfaces.ResponseHead
     ) -> Response | outcomes.Refused:
@@ -201,7 +191,7 @@
         except http_calls.CALL_ERRORS as error:
             failed = http_calls.to_failure(error)
             if not failed.timed_out:
-                self._report_broken(instance, failed.detail)
+                self.report_broken(instance, failed.detail)
             return request_handler.refusal_for(
                 interfaces.SendFailure(
                     interfaces.Ran.UNKNOWN, failed.detail, failed.timed_out
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
@@ -10,6 +10,7 @@
 
 from hemlockreel import outcomes
 
+from hemlockreel.forwarding import blocked_parts
 from hemlockreel.forwarding import deployments
 from hemlockreel.forwarding import instances
 from hemlockreel.forwarding import ranking
@@ -43,6 +44,11 @@
     outcomes.Reason.UNKNOWN_ROUTE: 404,
     outcomes.Reason.INTERNAL_ERROR: 500,
 }
+# Why a request is not sent to any replica more.
+BLOCKED = (
+    outcomes.Reason.PROMPT_BLOCKED,
+    outcomes.Reason.REQUEST_BLOCKED,
+)
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
 GATEWAY_TIMEOUT = 504
@@ -88,8 +94,10 @@
 
     ``sent`` counts the replicas that received the request, ``tried`` lists
     their ids, and ``ran`` is set if one of them may have executed it. ``box``
-    receives the replies of the loop and the signal to stop. ``content_keys``
-    recognise the same request when it is sent again.
+    receives the replies of the loop and the signal to stop. ``parts`` are the
+    ids of what may crash a replica, see :mod:`blocked_parts`: the shared parts
+    of the prompt and the request itself. ``has_broken`` is set once a replica
+    has broken the request off.
     """
 
     def __init__(
@@ -105,7 +113,10 @@
         self.exchange = exchange
         self.box = box
         self._key = key
-        self.content_keys = content_keys.find(job.request)
+        demand = job.request.demand
+        shared_parts = () if demand is None else demand.shared_parts
+        self.parts = (*shared_parts, *content_keys.find(job.request))
+        self.has_broken = False
         self.sent = 0
         self.ran = False
         self.tried: list[str] = []
@@ -153,7 +164,8 @@
             is_retry,
             demand.max_output,
             demand.estimated_output,
-            demand.shared_parts,
+            self.parts,
+            self.has_broken,
         )
         self.post(asked)
         value = self._receive(LOOP_TIMEOUT_S)
@@ -218,12 +230,8 @@
         It waits up to ``max_wait_s`` for a replica that names a limit;
         ``None`` if the request has its permit already.
         """
-        demand = self.job.request.demand
         asked = replica_selection.UsabilityRequested(
-            self._key,
-            instance.id,
-            self.job.service.name,
-            demand.shared_parts if demand else (),
+            self._key, instance.id, self.job.service.name, self.parts
         )
         self.post(asked)
         value = self._receive(LOOP_TIMEOUT_S)
@@ -273,6 +281,48 @@
             detail,
         )
 
+    def report_broken(
+        self,
+        instance: instances.Instance,
+        detail: str,
+        written_s: float = 0.0,
+        last_event: str = "",
+    ) -> None:
+        """Reports to the loop, and logs, that a replica broke a run off.
+
+        ``written_s`` is the time since its first event.
+        """
+        if self.box.stopped is not None:
+            return
+        self.has_broken = True
+        self.log(
+            "run_broken",
+            replica=instance.id,
+            born=instance.born,
+            written_ms=round(written_s * 1000),
+            last_event=last_event,
+            detail=detail,
+            parts=self.parts,
+        )
+        self.post(
+            blocked_parts.RunBroken(
+                self.job.service.name,
+                self.job.request.id,
+                instance.id,
+                instance.born,
+                self.parts,
+                written_s,
+            )
+        )
+
+    def report_complete(self, seconds: float) -> None:
+        """Reports to the loop that a run has written its whole answer."""
+        self.post(
+            blocked_parts.RunCompleted(
+                self.job.service.name, self.parts, seconds
+            )
+        )
+
     def take_retry(self) -> bool:
         """Takes one retry from the budget; false if it is used up."""
         self.post(
--- a/packages/hemlockreel/hemlockreel/forwarding/blocked_parts.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/blocked_parts.py
@@ -1,4 +1,8 @@
-"""Blocks the parts of prompts that crash the replicas that answer them.
+"""Blocks what crashes the replicas: parts of prompts, and whole requests.
+
+A whole request is one more part here, whose id begins with ``REQUEST_PREFIX``
+and stands for its content; it belongs to no service, since a route may lead
+the same request to several.
 
 Each host sees a few of the crashes only. Hosts report young answers that were
 broken off to a few judges, which are the same hosts for all. A judge blocks
@@ -7,13 +11,16 @@
 The number of messages depends on the crashes and the hosts, never on the
 requests.
 
-A request with a blocked part is refused before it is sent anywhere. A block
+A request that breaks off is not tried again at another replica if it broke off
+at others before, as it would likely crash that one too. A request with a
+blocked part is refused before it is sent anywhere. A block
 ends after some time, and the first crash after it renews it for longer.
 :mod:`block_records` keeps the blocks when all hosts end at once.
 """
 
 import collections
 from collections.abc import Iterable
+from collections.abc import Sequence
 import functools
 import math
 from typing import Any
@@ -31,6 +38,10 @@
 
 JUDGES = 3  # one may be gone or cut off, and another about to learn it
 BLOCK_S = 600.0  # doubles each time
+# For several requests of which one may be the cause. The sound ones are
+# cleared by their next answer, and the cause comes back a few times at most.
+DOUBTFUL_BLOCK_S = 15.0
+DOUBTFUL_FACTOR = 8  # each time
 MAX_BLOCK_S = 24 * 3600.0
 PERIOD_S = 1.0  # between two messages of a judge to all hosts
 MAX_DELAY_S = 5.0  # of a message; a renewed block is longer by more
@@ -39,8 +50,11 @@
 # How long a part that was cleared can't be blocked, until all judges know it.
 CLEARED_S = 5.0
 MAX_BLOCKED = 1024
-REQUEST_PREFIX = "request:"  # of ids that stand for whole requests
+REQUEST_PREFIX = crash_evidence.REQUEST_PREFIX
 MAX_WORKED = 4096  # parts that a host remembers answers on
+# How long a request is suspected after it broke off at several replicas.
+SUSPECTED_S = 10.0
+MAX_SUSPECTED = 1024
 
 Part = crash_evidence.Part
 
@@ -49,7 +63,8 @@
     """A worker's run at the replica ``id`` was broken off.
 
     ``written_s`` is the time since its first event, 0 before that. ``parts``
-    are the ids of the shared parts of the prompt, in order.
+    are the ids of the shared parts of the prompt and of the request, in
+    order.
     """
 
     service: str
@@ -81,7 +96,7 @@
     ``blocked`` holds the blocks in force, ``earlier`` how often parts were
     blocked so far, and ``cleared`` until when a part can't be blocked.
     ``worked`` holds when this host's last complete answer on a part was
-    begun, oldest first.
+    begun, oldest first, and ``suspected`` until when a request is suspected.
 
     The rest is used by judges. ``unjudged_at`` is the time of the last
     report, ``unasked`` are parts of broken answers about which the hosts
@@ -95,12 +110,18 @@
         self.worked: collections.OrderedDict[Part, float] = (
             collections.OrderedDict()
         )
+        self.suspected: dict[Part, float] = {}
         self.evidence = crash_evidence.Evidence()
         self.unjudged_at: float | None = None
         self.unasked: set[Part] = set()
         self.next_message_at = 0.0
 
 
+def to_part(service: str, id: str) -> Part:
+    """Returns the part ``id`` of a request for ``service``."""
+    return Part("" if id.startswith(REQUEST_PREFIX) else service, id)
+
+
 def judges(board: boards.Board) -> list[str]:
     """Returns the hosts that judge parts, the first one first."""
     hosts = [each.host for each in membership.live_members(board)]
@@ -120,16 +141,26 @@
     if not blocked:
         return None
     for id in ids:
-        found = blocked.get(Part(service, id))
-        if found is not None and found.until > now:
-            return outcomes.not_run(
-                outcomes.Reason.PROMPT_BLOCKED,
-                found.until - now,
-                f"replicas crash on the part {id} of the prompt",
-            )
+        found = blocked.get(to_part(service, id))
+        if found is None or found.until <= now:
+            continue
+        reason = outcomes.Reason.PROMPT_BLOCKED
+        detail = f"replicas crash on the part {id} of the prompt"
+        if id.startswith(REQUEST_PREFIX):
+            reason = outcomes.Reason.REQUEST_BLOCKED
+            detail = f"replicas crash on this request ({id})"
+        return outcomes.not_run(reason, found.until - now, detail)
     return None
 
 
+def is_suspected(
+    board: boards.Board, service: str, ids: Iterable[str], now: float
+) -> bool:
+    """Returns whether the request itself broke off at several replicas."""
+    suspected = board.state(State).suspected
+    return any(suspected.get(to_part(service, id), now) > now for id in ids)
+
+
 def block(
     board: boards.Board, part: Part, seconds: float, times: int, now: float
 ) -> Iterable[actions.Action]:
@@ -184,13 +215,14 @@
 ) -> Iterable[actions.Action]:
     if event.written_s > crash_evidence.YOUNG_S or not event.parts:
         return
-    ids = tuple(dict.fromkeys(event.parts))[: crash_evidence.MAX_PARTS]
+    # The first parts are those that most other requests have too.
+    ids = tuple(dict.fromkeys(event.parts))[-crash_evidence.MAX_PARTS :]
     broke = messages.RunBroke(
         **board.sender_fields,
         request=event.request_id,
         replica=event.id,
         born=event.born,
-        parts=[Part(event.service, id) for id in ids],
+        parts=[to_part(event.service, id) for id in ids],
     )
     for host in judges(board):
         yield actions.Send(host, broke)
@@ -203,7 +235,8 @@
     state = board.state(State)
     asked = []
     for id in event.parts:
-        part = Part(event.service, id)
+        part = to_part(event.service, id)
+        state.suspected.pop(part, None)
         state.worked[part] = now - event.seconds
         state.worked.move_to_end(part)
         if part in state.blocked:
@@ -227,6 +260,10 @@
         yield from clear(board, part, now)
     for each in event.blocked:
         yield from block(board, each.part, each.for_s, each.times, now)
+    for part in event.suspected:
+        is_request = part.id.startswith(REQUEST_PREFIX)
+        if is_request and len(state.suspected) < MAX_SUSPECTED:
+            state.suspected[part] = now + SUSPECTED_S
     # Earlier answers matter too while a part is only suspected: they show
     # which of its crashes came before.
     asked = [(part, crash_evidence.EVIDENCE_S) for part in event.suspected]
@@ -280,6 +317,8 @@
         yield actions.Log("part_block_ended", fields)
     for part in [part for part, at in state.cleared.items() if at <= now]:
         del state.cleared[part]
+    for part in [part for part, at in state.suspected.items() if at <= now]:
+        del state.suspected[part]
     if state.unasked:
         yield from _ask_all(board, now)
     if state.unjudged_at is not None:
@@ -305,29 +344,40 @@
         for part in each.parts
         if part in state.earlier and part not in state.blocked
     }
-    for part in sorted(relapsed, key=lambda part: (part.service, part.id)):
-        if not crash_evidence.is_sound(state.evidence, part, now):
-            yield from _block_for_all(board, part, now)
+    returned = [
+        part
+        for part in sorted(relapsed, key=lambda part: (part.service, part.id))
+        if not crash_evidence.is_sound(state.evidence, part, now)
+    ]
+    if returned:
+        yield from _block_for_all(board, returned, now)
     while True:
-        part = crash_evidence.find_cause(
+        found = crash_evidence.find_causes(
             state.evidence, state.blocked, now, now - SETTLE_S
         )
-        if part is None:
+        if not found:
             return
-        yield from _block_for_all(board, part, now)
-        if part not in state.blocked:
+        yield from _block_for_all(board, found, now)
+        if not any(part in state.blocked for part in found):
             return
 
 
 def _block_for_all(
-    board: boards.Board, part: Part, now: float
+    board: boards.Board, parts: Sequence[Part], now: float
 ) -> Iterable[actions.Action]:
+    """Blocks ``parts``; if there are several, one of them is the cause."""
     state = board.state(State)
-    times = state.earlier.get(part, 0) + 1
-    crashes = crash_evidence.count_crashes(state.evidence, part)
-    fields = {"service": part.service, "part": part.id, "crashes": crashes}
-    yield actions.Log("part_blamed", fields)
-    yield from block(board, part, BLOCK_S * 2 ** (times - 1), times, now)
+    for part in parts:
+        times = state.earlier.get(part, 0) + 1
+        crashes = crash_evidence.count_crashes(state.evidence, part)
+        fields = {"service": part.service, "part": part.id}
+        yield actions.Log(
+            "part_blamed", {**fields, "crashes": crashes, "of": len(parts)}
+        )
+        seconds = BLOCK_S * 2 ** (times - 1)
+        if len(parts) > 1:
+            seconds = DOUBTFUL_BLOCK_S * DOUBTFUL_FACTOR ** (times - 1)
+        yield from block(board, part, seconds, times, now)
     yield from _tell_all(board, now)
 
 
@@ -355,13 +405,21 @@
 
 
 def _ask_all(board: boards.Board, now: float) -> Iterable[actions.Action]:
-    """Asks all hosts for answers on parts that may crash replicas."""
+    """Asks all hosts for answers on parts that may crash replicas.
+
+    What broke off once only is left out: most of it never does so again.
+    """
     state = board.state(State)
     suspected = [
         part
         for part in sorted(state.unasked, key=lambda p: (p.service, p.id))
         if not crash_evidence.is_sound(state.evidence, part, now)
         and part not in state.blocked
+        and (
+            part in state.earlier
+            or crash_evidence.count_crashes(state.evidence, part)
+            >= crash_evidence.SUSPECTED_CRASHES
+        )
     ]
     state.unasked.clear()
     if suspected:
--- a/packages/hemlockreel/hemlockreel/forwarding/crash_evidence.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/crash_evidence.py
@@ -1,10 +1,13 @@
-"""Finds the part of prompts that crashes replicas, from answers broken off.
+"""Finds what crashes replicas, from answers that were broken off.
 
 All requests whose answers a crashing replica was writing break off with it.
 The guilty one has just begun to write, so only young answers count. The cause
 is the part that the broken requests at several runs of replicas have in
 common, and on which no answer has been written to its end since. The last
 part of a prompt is never blamed, as no other request has it.
+
+A whole request that comes again and again is a part too, the last one of its
+run. It begins with ``REQUEST_PREFIX``.
 """
 
 import collections
@@ -20,12 +23,14 @@
 # a request that was cut by a crash is cut again at the next replica.
 NEEDED_CRASHES = 3
 NEEDED_REQUESTS = 2
+SUSPECTED_CRASHES = 2  # from which on a part is worth a question to all hosts
 # For so long after an answer on it was begun that came to its end, a part is
 # taken for sound.
 SOUND_S = 60.0
 EVIDENCE_S = 600.0  # how long a broken run counts
 MAX_BREAKS = 1024
 MAX_PARTS = 64  # of one prompt; a longer one is blamed by these only
+REQUEST_PREFIX = "request:"  # of ids that stand for whole requests
 # An entry of a replica that has crashed disappears before this.
 DISPROOF_S = 10.0
 
@@ -81,14 +86,18 @@
             del evidence.worked[part]
 
 
-def find_cause(
+def find_causes(
     evidence: Evidence, explained: Iterable[Part], now: float, until: float
-) -> Part | None:
-    """Returns the part that most likely crashes replicas, ``None`` if none.
+) -> list[Part]:
+    """Returns the part that most likely crashes replicas, if there is one.
 
     Answers that broke off after ``until`` don't count yet. Crashes under the
     ``explained`` parts blame no other part. Among equal parts the later one
     of a prompt is shared by fewer requests.
+
+    Of whole requests all that have enough crashes are returned: with three
+    replicas a sound request may be cut by each crash of another one, and if it
+    alone were blamed, the crashes would go on.
     """
     known = set(explained)
     explained_runs = {
@@ -110,22 +119,31 @@
             crashes.setdefault(part, set()).add(each.replica_run)
             requests.setdefault(part, set()).add(each.request)
             positions[part] = max(position, positions.get(part, 0))
-    found = [
-        part
+    ranked = {
+        part: (len(crashes[part]), len(requests[part]))
         for part in crashes
         if len(crashes[part]) >= NEEDED_CRASHES
         and len(requests[part]) >= NEEDED_REQUESTS
-    ]
-    return max(
-        found,
-        key=lambda part: (
-            len(crashes[part]),
-            len(requests[part]),
-            positions[part],
-            part.id,
-        ),
-        default=None,
+    }
+    if not ranked:
+        return []
+    first = max(
+        ranked,
+        key=lambda part: (ranked[part], positions[part], part.id),
     )
+    if not first.id.startswith(REQUEST_PREFIX):
+        return [first]
+    found = {part for part in ranked if part.id.startswith(REQUEST_PREFIX)}
+    return sorted(_most_particular(evidence, found), key=lambda part: part.id)
+
+
+def _most_particular(evidence: Evidence, found: set[Part]) -> set[Part]:
+    """Returns those of ``found`` that come last in some broken answer."""
+    return {
+        next(part for part in reversed(each.parts) if part in found)
+        for each in evidence.breaks
+        if not found.isdisjoint(each.parts)
+    }
 
 
 def count_crashes(evidence: Evidence, part: Part) -> int:
--- a/packages/hemlockreel/hemlockreel/forwarding/ranking.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/ranking.py
@@ -30,9 +30,10 @@
 
     For a request to a model, ``tokens`` is the size of its prompt and
     ``max_output`` and ``estimated_output`` are the limit and the estimate of
-    its output in tokens, and ``parts`` are the ids of the shared parts. An
-    ``is_retry`` request was sent to a replica before and uses the retry
-    budget. ``exclude`` lists ids of replicas.
+    its output in tokens. ``parts`` are the ids of the shared parts of its
+    prompt and of the request itself. An ``is_retry`` request was sent to a
+    replica before and uses the retry budget, and ``has_broken`` if a replica
+    broke it off. ``exclude`` lists ids of replicas.
     """
 
     request_id: str
@@ -44,6 +45,7 @@
     max_output: int = 0
     estimated_output: int = 0
     parts: tuple[str, ...] = ()
+    has_broken: bool = False
 
 
 class State:
--- a/packages/hemlockreel/hemlockreel/forwarding/replica_selection.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/replica_selection.py
@@ -134,7 +134,7 @@
     """A worker is about to send a request for ``service`` to ``id``.
 
     The reply is :class:`Usable`, or the refusal if the replica may not be used
-    any more or one of the prompt's ``parts`` is blocked.
+    any more or one of the request's ``parts`` is blocked.
     """
 
     request_id: str
@@ -176,6 +176,17 @@
     if blocked is not None:
         yield actions.Reply(event.request_id, blocked)
         return
+    if event.has_broken and blocked_parts.is_suspected(
+        board, event.service, event.parts, now
+    ):
+        yield actions.Count("repeats_refused")
+        refused = outcomes.not_run(
+            outcomes.Reason.REQUEST_BLOCKED,
+            NO_BACKEND_RETRY_AFTER_S,
+            "replicas may crash on this request",
+        )
+        yield actions.Reply(event.request_id, refused)
+        return
     found = ranking.rank(board, event, now)
     if not found:
         wait_s = _wait_for_paused_s(board, event, now)
--- a/packages/hemlockreel/hemlockreel/outcomes.py
+++ b/packages/hemlockreel/hemlockreel/outcomes.py
@@ -37,6 +37,7 @@
     BACKEND_SILENT = "backend_silent"
     BACKEND_PAUSED = "backend_paused"
     PROMPT_BLOCKED = "prompt_blocked"
+    REQUEST_BLOCKED = "request_blocked"
     REVOKED = "grant_revoked"
     CALLER_GONE = "caller_gone"
     INTERNAL_ERROR = "internal_error"
--- a/standins/hemlockreel_standins/crash_rig.py
+++ b/standins/hemlockreel_standins/crash_rig.py
@@ -11,8 +11,10 @@
 from hemlockreel_daemon import clock
 from hemlockreel_daemon import mailbox
 
+from hemlockreel.forwarding import blocked_parts
 from hemlockreel.forwarding import deployments
 from hemlockreel.forwarding import instances
+from hemlockreel_daemon.forwarding import content_keys
 from hemlockreel_daemon.forwarding import interfaces
 from hemlockreel_daemon.forwarding import plain_requests
 from hemlockreel_daemon.forwarding import request_handler
@@ -53,13 +55,15 @@
 class Site:
     """A fleet of hosts with ``servers`` servers of one plain service.
 
-    ``bad`` holds the paths that crash each server which begins to run them.
+    ``bad`` holds the paths that crash each server which begins to run them,
+    ``beside`` those that run there at the same time and are cut by each crash.
     ``crashes`` and ``arrivals`` are pairs of a time and a path, in order.
     """
 
     def __init__(self, hosts: int = 13, servers: int = 3):
         self.fleet = parts_rig.Fleet(hosts)
         self.bad: set[str] = set()
+        self.beside: tuple[str, ...] = ()
         self.crashes: list[tuple[float, str]] = []
         self.arrivals: list[tuple[float, str]] = []
         self._numbers = itertools.count(1)
@@ -111,15 +115,14 @@
         """Sends a request to ``host`` and returns the response."""
         box = mailbox.Mailbox()
         loop = _Loop(self.fleet.fabric, host, box)
-        id = f"r{next(self._numbers)}"
-        found = interfaces.CallerRequest(
-            id, "GET", path, path, "a.example", (), b"", 1.0, None, "", caller
-        )
+        found = self._make_request(path, caller)
         job = request_handler.Job(found, route, SERVICE, 1, clock.now())
         exchange = forwarding_rig.Exchange()
         daemon = forwarding_rig.Daemon(loop)
         tools = request_handler.Tools(daemon, self, forwarding_rig.Callers())
-        handler = plain_requests.PlainHandler(tools, job, exchange, box, id)
+        handler = plain_requests.PlainHandler(
+            tools, job, exchange, box, found.id
+        )
         handler.run()
         return exchange
 
@@ -139,12 +142,36 @@
             return forwarding_rig.make_response(b"whole")
         self.crashes.append((self.now, request.path))
         self._up.discard(instance)
+        self._cut_beside(instance)
         self._back_at.append(self.now + RESTART_S)
         self._listed_until[instance] = self.now + ENTRY_S
         return interfaces.SendFailure(
             interfaces.Ran.UNKNOWN, "reset", connection_lost=True
         )
 
+    def _cut_beside(self, instance: instances.Instance) -> None:
+        """Breaks off what runs at ``instance``, sent by other hosts."""
+        hosts = list(self.fleet.fabric.boards)
+        for number, path in enumerate(self.beside):
+            request = self._make_request(path, "10.9.0.2")
+            broken = blocked_parts.RunBroken(
+                "lesar",
+                request.id,
+                instance.id,
+                instance.born,
+                content_keys.find(request),
+                0.0,
+            )
+            self.fleet.fabric.post(hosts[number % len(hosts)], broken)
+
+    def _make_request(
+        self, path: str, caller: str
+    ) -> interfaces.CallerRequest:
+        id = f"r{next(self._numbers)}"
+        return interfaces.CallerRequest(
+            id, "GET", path, path, "a.example", (), b"", 1.0, None, "", caller
+        )
+
     def late_arrivals(self, path: str) -> int:
         """Returns how often ``path`` arrived after its third crash.
 
