Play plain requests that crash servers in the soak

A lookup or booking that ends what runs it now comes for 12 to 16 s, beside all other faults, and the check on the budget counts its arrivals after the third crash.

--- a/standins/hemlockreel_standins/soak/backends.py
+++ b/standins/hemlockreel_standins/soak/backends.py
@@ -22,9 +22,11 @@
 
 
 class CrashingParts:
-    """The parts of prompts that crash an engine which writes an answer.
+    """The parts of prompts, and the plain requests, that crash replicas.
 
-    ``crash`` is called with the replica and the part.
+    An engine crashes as it writes an answer, a server as it begins to run
+    the request, which is named by its path and query. ``crash`` is called
+    with the replica and the part.
     """
 
     def __init__(self, crash: Callable[["RecordingReplica", str], None]):
@@ -32,7 +34,9 @@
         self.crash = crash
 
     def find(self, arrival: platform_replica.Arrival) -> str:
-        """Returns the crashing part of a request's prompt, empty if none."""
+        """Returns what crashes replicas in a request, empty if nothing."""
+        if arrival.target in self.ids:
+            return arrival.target
         prompt = arrival.headers.get("hemlockreel-prompt-prefix", "")
         parts = [each.partition(":")[0] for each in prompt.split(",")]
         return next((each for each in parts if each in self.ids), "")
@@ -196,8 +200,12 @@
         self, arrival: platform_replica.Arrival
     ) -> Iterable[bytes]:
         id = arrival.headers["hemlockreel-request-id"]
+        part = self._crashing_parts.find(arrival)
         if self.stage is None:
             time.sleep(PLAIN_SERVICE_TIME_S)
+            if part:
+                self._crashing_parts.crash(self, part)
+                raise ConnectionResetError
             body = records.response_body(id)
             yield self._head(arrival, f"Content-Length: {len(body)}") + body
             return
@@ -207,7 +215,6 @@
             "Transfer-Encoding: chunked",
         )
         first = int(arrival.headers.get("last-event-id") or 0) + 1
-        part = self._crashing_parts.find(arrival)
         for event in records.stream_events(id, first):
             time.sleep(EVENT_GAP_S)
             yield platform_replica.encode_chunk(event)
--- a/standins/hemlockreel_standins/soak/callers.py
+++ b/standins/hemlockreel_standins/soak/callers.py
@@ -45,8 +45,8 @@
     ``directories`` are the addresses at which the hosts resolve a name to the
     addresses that callers connect to. With ``refreshes_late`` the caller
     caches addresses for longer than their time to live, and its connection
-    outlasts them. With ``part`` it sends only prompts that have this part,
-    each over a connection of its own.
+    outlasts them. With ``part`` it sends only prompts that have this part, or
+    the plain request to this path, each over a connection of its own.
     """
 
     def __init__(
@@ -146,12 +146,18 @@
     def _send(self, connection: client.HTTPConnection, address: str) -> bool:
         """Sends one request; returns whether the connection can be reused."""
         id = f"{self._name}-{next(self._numbers)}"
-        streams = bool(self._part) or self._rng.random() < 0.4
+        is_request = records.is_request(self._part)
+        streams = not is_request and (
+            bool(self._part) or self._rng.random() < 0.4
+        )
         method, prefix = STREAM if streams else self._rng.choice(PLAIN)
         leaves = (
             streams and not self._part and self._rng.random() < ABANDONED_SHARE
         )
         target = f"{prefix}{id}?q={id}"
+        if is_request:
+            target = self._part
+            method = next(m for m, p in PLAIN if target.startswith(p))
         headers = {
             "Host": platform_site.HOST,
             "Hemlockreel-Request-Id": id,
--- a/standins/hemlockreel_standins/soak/plan.py
+++ b/standins/hemlockreel_standins/soak/plan.py
@@ -38,6 +38,7 @@
     STORE_RESTORED = "store_restored"  # from a copy some seconds old
     PART_CRASHES = "part_crashes"  # prompts with a part that crashes engines
     REPLICA_LIMITED = "replica_limited"  # names how many requests it takes
+    REQUEST_CRASHES = "request_crashes"  # one request crashes what runs it
 
 
 # The relative frequency of each kind. Killing all hosts is rare, since it
@@ -45,6 +46,7 @@
 WEIGHTS = dict.fromkeys(Kind, 1.0) | {
     Kind.ALL_KILLED: 0.3,
     Kind.PART_CRASHES: 0.5,
+    Kind.REQUEST_CRASHES: 0.5,
     Kind.HOST_STOPPED: 2.0,
     Kind.ROUTE_MOVED: 2.0,
 }
@@ -58,10 +60,20 @@
     Kind.STORE_RESTORED: 5.0,
     Kind.PART_CRASHES: 16.0,
     Kind.REPLICA_LIMITED: 16.0,
+    Kind.REQUEST_CRASHES: 16.0,
 }
 # What must hold some seconds after these begin needs longer faults.
-MIN_DURATION_S = {Kind.PART_CRASHES: 12.0, Kind.REPLICA_LIMITED: 8.0}
-LATER_KINDS = (Kind.STORE_RESTORED, Kind.PART_CRASHES, Kind.REPLICA_LIMITED)
+MIN_DURATION_S = {
+    Kind.PART_CRASHES: 12.0,
+    Kind.REPLICA_LIMITED: 8.0,
+    Kind.REQUEST_CRASHES: 12.0,
+}
+LATER_KINDS = (
+    Kind.STORE_RESTORED,
+    Kind.PART_CRASHES,
+    Kind.REPLICA_LIMITED,
+    Kind.REQUEST_CRASHES,
+)
 LINK_MODES = ("delayed", "reset", "silent", "no_requests", "no_answers")
 REPLICA_MODES = (
     "no_bytes",
--- a/standins/hemlockreel_standins/soak/play.py
+++ b/standins/hemlockreel_standins/soak/play.py
@@ -176,5 +176,8 @@
         kind.PART_CRASHES: lambda: deployment.send_crashing_part(
             step.index, step.for_s
         ),
+        kind.REQUEST_CRASHES: lambda: deployment.send_crashing_request(
+            step.index, step.for_s
+        ),
     }
     return actions[step.kind]
--- a/standins/hemlockreel_standins/soak/promises.py
+++ b/standins/hemlockreel_standins/soak/promises.py
@@ -26,6 +26,7 @@
 FAILED_STATUSES = (502, 504)
 OK = 200
 COUNTED_CRASHES = 5  # after which a crashing part must be known
+COUNTED_REQUEST_CRASHES = 3  # after which a crashing request must be known
 MAX_LATE_ARRIVALS = 3
 MIN_BYSTANDERS = 20  # requests; fewer say nothing about a share
 LIMIT_WINDOW_S = 4.0
@@ -317,12 +318,13 @@
 
 
 def check_crashing_parts(log: records.Log) -> Iterator[Violation]:
-    """Few requests with a part that has crashed five replicas reach any."""
+    """Few requests reach replicas once what crashes them must be known."""
     hosts = {each.id: each.host for each in log.sent}
     for part, crashes in _crashes_by_part(log).items():
-        if len(crashes) < COUNTED_CRASHES:
+        counted = _counted_crashes(part)
+        if len(crashes) < counted:
             continue
-        known_at = crashes[COUNTED_CRASHES - 1] + STABLE_S
+        known_at = crashes[counted - 1] + STABLE_S
         late = [
             each
             for each in log.part_arrivals
@@ -333,7 +335,7 @@
             )
         ]
         if len(late) > MAX_LATE_ARRIVALS:
-            detail = f"{len(late)} requests with {part} after five crashes"
+            detail = f"{len(late)} with {part} after {counted} crashes"
             yield Violation("budget", f"{detail}: {late[-1]}")
 
 
@@ -357,7 +359,7 @@
     calm = [each for each in sound if _is_calm([*spans, *parts], each)]
     by_part = _crashes_by_part(log)
     for _, part, _, end in parts:
-        begin = by_part[part][:COUNTED_CRASHES][-1] + 2 * STABLE_S
+        begin = _last_counted(part, by_part[part]) + 2 * STABLE_S
         allowed = [
             _allowed_crashes(other, crashes)
             for other, crashes in by_part.items()
@@ -389,10 +391,21 @@
 
     Its effects may last for as long as those of other spans, after it.
     """
-    until = crashes[:COUNTED_CRASHES][-1] + STABLE_S
+    until = _last_counted(part, crashes) + STABLE_S
     return records.Span("part", part, crashes[0], until)
 
 
+def _counted_crashes(part: str) -> int:
+    """Returns after how many crashes ``part`` must be known."""
+    if records.is_request(part):
+        return COUNTED_REQUEST_CRASHES
+    return COUNTED_CRASHES
+
+
+def _last_counted(part: str, crashes: list[float]) -> float:
+    return crashes[: _counted_crashes(part)][-1]
+
+
 def _is_calm(spans: Iterable[records.Span], sent: records.Sent) -> bool:
     """Returns whether none of ``spans`` is near a request, at any target."""
     return not any(
--- a/standins/hemlockreel_standins/soak/records.py
+++ b/standins/hemlockreel_standins/soak/records.py
@@ -12,8 +12,8 @@
 
     ``status`` is 0 if there was no response. ``whole`` tells whether the
     response ended as its framing requires. ``left_at`` is when the caller
-    abandoned the request. ``part`` is the part of its prompt that crashes
-    engines, empty if it has none.
+    abandoned the request. ``part`` is what crashes replicas in it, a part of
+    its prompt or its own path and query; empty if it is sound.
     """
 
     id: str
@@ -122,6 +122,11 @@
             lists[type(record)].append(record)
 
 
+def is_request(part: str) -> bool:
+    """Returns whether ``part`` is a whole request, given by its path."""
+    return part.startswith("/")
+
+
 def response_body(id: str) -> bytes:
     """Returns the response body of a plain service to the request ``id``."""
     return f"answer to {id}\n".encode() * 20
--- a/standins/hemlockreel_standins/soak/site.py
+++ b/standins/hemlockreel_standins/soak/site.py
@@ -190,7 +190,17 @@
 
     def send_crashing_part(self, seed: int, for_s: float) -> None:
         """Sends prompts with a part that crashes engines for ``for_s``."""
-        part = f"bad{seed:05x}{next(self._numbers):x}"
+        self._send_crashing(
+            f"bad{seed:05x}{next(self._numbers):x}", seed, for_s
+        )
+
+    def send_crashing_request(self, seed: int, for_s: float) -> None:
+        """Sends one plain request that crashes servers, for ``for_s``."""
+        _, prefix = callers.PLAIN[seed % len(callers.PLAIN)]
+        number = next(self._numbers)
+        self._send_crashing(f"{prefix}bad{number}?q={number}", seed, for_s)
+
+    def _send_crashing(self, part: str, seed: int, for_s: float) -> None:
         self._crashing_parts.ids.add(part)
         caller = callers.Caller(
             part,
--- a/standins/tests/soak/test_play.py
+++ b/standins/tests/soak/test_play.py
@@ -46,3 +46,11 @@
     found = play.play(2, 1.0, 4, 8, tmp_path, choices)
     assert found.log.limits
     assert found.violations == []
+
+
+# BUDGET of issue 27: one plain request ended server after server.
+def test_crashing_request_ends_no_more_servers_once_it_is_known(tmp_path):
+    choices = plan.Choices((plan.Kind.REQUEST_CRASHES,), ())
+    found = play.play(1, 1.0, 4, 8, tmp_path, choices)
+    assert found.log.part_crashes
+    assert found.violations == []
--- a/standins/tests/soak/test_promises.py
+++ b/standins/tests/soak/test_promises.py
@@ -202,13 +202,13 @@
     return [records.PartCrash(part, f"drafter-{at}", at) for at in times]
 
 
-def late_requests(count, at):
+def late_requests(count, at, part="bad"):
     sent = [
-        sent_request(f"late{n}", "/drafts/", at, status=503, part="bad")
+        sent_request(f"late{n}", "/drafts/", at, status=503, part=part)
         for n in range(count)
     ]
     return sent + [
-        records.PartArrival(each.id, "bad", "drafter-9", at) for each in sent
+        records.PartArrival(each.id, part, "drafter-9", at) for each in sent
     ]
 
 
@@ -234,6 +234,22 @@
     assert violated == expected
 
 
+@pytest.mark.parametrize(
+    "times, count, at, expected",
+    [
+        ((1.0, 2.0, 3.0), 4, 6.1, {"budget"}),
+        ((1.0, 2.0, 3.0), 3, 6.1, set()),
+        ((1.0, 2.0, 3.0), 4, 5.9, set()),
+        ((1.0, 2.0), 4, 6.1, set()),
+    ],
+)
+def test_a_request_that_crashed_three_replicas(times, count, at, expected):
+    bad = "/lookups/bad1?q=1"
+    found = [sent_request(), *crashes(*times, part=bad)]
+    found += late_requests(count, at, bad)
+    assert violated_promises(*found) & {"budget"} == expected
+
+
 @pytest.mark.parametrize(
     "served, other_crash_at, expected",
     [
