Block a crashing request for all callers that were not answered

A trial that logged what plain requests look like shows that callers come from 27 addresses, and one caller's two attempts take all three servers: so the crashes blamed the request of this address alone, and the next addresses ended three more servers before the path was blamed.

The most general number of a request is blamed now that no answer clears. A request that was blamed beside others, or for all callers, is tried after a minute by one host, one request at a time, instead of a short block that ends everywhere at once.

--- a/packages/hemlockreel/hemlockreel/forwarding/block_records.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/block_records.py
@@ -9,11 +9,13 @@
 
 from collections.abc import Iterable
 import functools
+import math
 from typing import Any
 
 from .. import actions
 from .. import board as boards
 from .. import events
+from .. import messages
 from .. import store_era
 from . import blocked_parts
 
@@ -103,12 +105,20 @@
                 "part": part.id,
                 "for_s": round(each.until - now, 1),
                 "times": each.times,
+                **_encode_trial(each, now),
             }
             for part, each in blocked.items()
         ]
     }
 
 
+def _encode_trial(found: blocked_parts.Block, now: float) -> dict[str, float]:
+    """Returns when a request is tried; JSON has no infinity."""
+    if math.isinf(found.trial_at):
+        return {}
+    return {"trial_in_s": round(found.trial_at - now, 1)}
+
+
 @handle.register
 def _responded(
     event: events.StoreResponded, board: boards.Board, now: float
@@ -133,19 +143,26 @@
         return
     state.version = event.body["object"]["version"]
     found = _decode(event.body["object"]["value"])
-    state.saved = frozenset(part for part, _, _ in found)
-    for part, for_s, times in found:
-        yield from blocked_parts.block(board, part, for_s, times, now)
+    state.saved = frozenset(each.part for each in found)
+    for each in found:
+        yield from blocked_parts.block(
+            board, each.part, each.for_s, each.times, now, each.trial_in_s
+        )
 
 
-def _decode(value: Any) -> list[tuple[blocked_parts.Part, float, int]]:
+def _decode(value: Any) -> list[messages.BlockedPart]:
     """Returns the blocks in the object; what is no block is left out."""
     found = []
     listed = value.get("parts") if isinstance(value, dict) else None
     for each in listed if isinstance(listed, list) else ():
         try:
             part = blocked_parts.Part(str(each["service"]), str(each["part"]))
-            block = (part, float(each["for_s"]), int(each["times"]))
+            block = messages.BlockedPart(
+                part,
+                float(each["for_s"]),
+                int(each["times"]),
+                float(each.get("trial_in_s", math.inf)),
+            )
         except (KeyError, TypeError, ValueError):
             continue
         found.append(block)
--- a/packages/hemlockreel/hemlockreel/forwarding/blocked_parts.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/blocked_parts.py
@@ -38,10 +38,10 @@
 
 JUDGES = 3  # one may be gone or cut off, and another about to learn it
 BLOCK_S = 600.0  # doubles each time
-# For several requests of which one may be the cause. The sound ones are
-# cleared by their next answer, and the cause comes back a few times at most.
-DOUBTFUL_BLOCK_S = 15.0
-DOUBTFUL_FACTOR = 8  # each time
+# After this time one blocked request is tried, in case that it was blamed for
+# crashes of another one. If it crashes a replica, the next one waits longer.
+TRIAL_S = 60.0
+TRIAL_FACTOR = 8
 MAX_BLOCK_S = 24 * 3600.0
 PERIOD_S = 1.0  # between two messages of a judge to all hosts
 MAX_DELAY_S = 5.0  # of a message; a renewed block is longer by more
@@ -84,10 +84,14 @@
 
 
 class Block(NamedTuple):
-    """A part is blocked until ``until``, for the ``times``-th time."""
+    """A part is blocked until ``until``, for the ``times``-th time.
+
+    From ``trial_at`` on, the first judge lets one request through.
+    """
 
     until: float
     times: int
+    trial_at: float = math.inf
 
 
 class State:
@@ -97,6 +101,7 @@
     blocked so far, and ``cleared`` until when a part can't be blocked.
     ``worked`` holds when this host's last complete answer on a part was
     begun, oldest first, and ``suspected`` until when a request is suspected.
+    ``trials`` holds the workers that may send a blocked request.
 
     The rest is used by judges. ``unjudged_at`` is the time of the last
     report, ``unasked`` are parts of broken answers about which the hosts
@@ -111,6 +116,7 @@
             collections.OrderedDict()
         )
         self.suspected: dict[Part, float] = {}
+        self.trials: dict[Part, str] = {}
         self.evidence = crash_evidence.Evidence()
         self.unjudged_at: float | None = None
         self.unasked: set[Part] = set()
@@ -134,16 +140,26 @@
 
 
 def find_refusal(
-    board: boards.Board, service: str, ids: Iterable[str], now: float
+    board: boards.Board,
+    service: str,
+    ids: Iterable[str],
+    now: float,
+    worker: str = "",
 ) -> outcomes.Refused | None:
-    """Returns the refusal of a prompt with a blocked part, if it has one."""
-    blocked = board.state(State).blocked
-    if not blocked:
+    """Returns the refusal of a request with a blocked part, if it has one.
+
+    ``worker`` is the one that handles the request.
+    """
+    state = board.state(State)
+    if not state.blocked:
         return None
     for id in ids:
-        found = blocked.get(to_part(service, id))
+        part = to_part(service, id)
+        found = state.blocked.get(part)
         if found is None or found.until <= now:
             continue
+        if _may_try(board, part, now, worker):
+            continue
         reason = outcomes.Reason.PROMPT_BLOCKED
         detail = f"replicas crash on the part {id} of the prompt"
         if id.startswith(REQUEST_PREFIX):
@@ -153,6 +169,22 @@
     return None
 
 
+def _may_try(board: boards.Board, part: Part, now: float, worker: str) -> bool:
+    """Returns whether ``worker`` may send a blocked request, to try it."""
+    state = board.state(State)
+    if worker and state.trials.get(part) == worker:
+        return True
+    found = state.blocked[part]
+    if not worker or now < found.trial_at:
+        return False
+    if judges(board)[:1] != [board.identity.host]:
+        return False
+    state.trials[part] = worker
+    wait_s = TRIAL_S * TRIAL_FACTOR**found.times
+    state.blocked[part] = found._replace(trial_at=now + wait_s)
+    return True
+
+
 def is_suspected(
     board: boards.Board, service: str, ids: Iterable[str], now: float
 ) -> bool:
@@ -162,7 +194,12 @@
 
 
 def block(
-    board: boards.Board, part: Part, seconds: float, times: int, now: float
+    board: boards.Board,
+    part: Part,
+    seconds: float,
+    times: int,
+    now: float,
+    trial_in_s: float = math.inf,
 ) -> Iterable[actions.Action]:
     """Blocks ``part`` for ``seconds``, unless that was refuted just now."""
     state = board.state(State)
@@ -172,12 +209,14 @@
     if known is None and len(state.blocked) >= MAX_BLOCKED:
         return
     until = now + min(seconds, MAX_BLOCK_S)
+    trial_at = now + trial_in_s
     if known is not None:
+        trial_at = max(trial_at, known.trial_at)
         # The judges tell each other too, and each message takes its time.
         if until < known.until + MAX_DELAY_S:
             until = known.until
         times = max(times, known.times)
-    state.blocked[part] = Block(until, times)
+    state.blocked[part] = Block(until, times, trial_at)
     state.earlier[part] = times
     if known is None:
         yield actions.Count("blocked_parts")
@@ -191,6 +230,7 @@
     """Ends the block of a part that crashes no replica."""
     state = board.state(State)
     state.earlier.pop(part, None)
+    state.trials.pop(part, None)
     if state.blocked.pop(part, None) is None:
         return
     state.cleared[part] = now + CLEARED_S
@@ -213,6 +253,9 @@
 def _run_broken(
     event: RunBroken, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
+    state = board.state(State)
+    for id in event.parts:
+        state.trials.pop(to_part(event.service, id), None)
     if event.written_s > crash_evidence.YOUNG_S or not event.parts:
         return
     # The first parts are those that most other requests have too.
@@ -259,7 +302,9 @@
     for part in event.cleared:
         yield from clear(board, part, now)
     for each in event.blocked:
-        yield from block(board, each.part, each.for_s, each.times, now)
+        yield from block(
+            board, each.part, each.for_s, each.times, now, each.trial_in_s
+        )
     for part in event.suspected:
         is_request = part.id.startswith(REQUEST_PREFIX)
         if is_request and len(state.suspected) < MAX_SUSPECTED:
@@ -313,6 +358,7 @@
     state = board.state(State)
     for part in [p for p, each in state.blocked.items() if each.until <= now]:
         del state.blocked[part]
+        state.trials.pop(part, None)
         fields = {"service": part.service, "part": part.id}
         yield actions.Log("part_block_ended", fields)
     for part in [part for part, at in state.cleared.items() if at <= now]:
@@ -365,7 +411,10 @@
 def _block_for_all(
     board: boards.Board, parts: Sequence[Part], now: float
 ) -> Iterable[actions.Action]:
-    """Blocks ``parts``; if there are several, one of them is the cause."""
+    """Blocks ``parts``; if there are several, one of them is the cause.
+
+    So requests are tried before their block ends.
+    """
     state = board.state(State)
     for part in parts:
         times = state.earlier.get(part, 0) + 1
@@ -374,10 +423,16 @@
         yield actions.Log(
             "part_blamed", {**fields, "crashes": crashes, "of": len(parts)}
         )
-        seconds = BLOCK_S * 2 ** (times - 1)
-        if len(parts) > 1:
-            seconds = DOUBTFUL_BLOCK_S * DOUBTFUL_FACTOR ** (times - 1)
-        yield from block(board, part, seconds, times, now)
+        is_request = part.id.startswith(REQUEST_PREFIX)
+        trial_in_s = TRIAL_S * TRIAL_FACTOR ** (times - 1)
+        yield from block(
+            board,
+            part,
+            BLOCK_S * 2 ** (times - 1),
+            times,
+            now,
+            trial_in_s if is_request else math.inf,
+        )
     yield from _tell_all(board, now)
 
 
@@ -396,7 +451,9 @@
 def _tell_all(board: boards.Board, now: float) -> Iterable[actions.Action]:
     """Tells all hosts what is blocked."""
     blocked = [
-        messages.BlockedPart(part, each.until - now, each.times)
+        messages.BlockedPart(
+            part, each.until - now, each.times, each.trial_at - now
+        )
         for part, each in board.state(State).blocked.items()
     ]
     judged = messages.PartsJudged(**board.sender_fields, blocked=blocked)
--- a/packages/hemlockreel/hemlockreel/forwarding/crash_evidence.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/crash_evidence.py
@@ -133,17 +133,45 @@
     )
     if not first.id.startswith(REQUEST_PREFIX):
         return [first]
-    found = {part for part in ranked if part.id.startswith(REQUEST_PREFIX)}
-    return sorted(_most_particular(evidence, found), key=lambda part: part.id)
+    found = [part for part in ranked if part.id.startswith(REQUEST_PREFIX)]
+    return sorted(_most_general(evidence, found), key=lambda part: part.id)
 
 
-def _most_particular(evidence: Evidence, found: set[Part]) -> set[Part]:
-    """Returns those of ``found`` that come last in some broken answer."""
-    return {
-        next(part for part in reversed(each.parts) if part in found)
-        for each in evidence.breaks
-        if not found.isdisjoint(each.parts)
+def _most_general(evidence: Evidence, found: list[Part]) -> list[Part]:
+    """Returns those of ``found`` that no other one explains.
+
+    The same request may be given by its path, and by its path and caller. As
+    long as no other caller of the path was answered, its callers needn't
+    differ.
+    """
+    broken = {
+        part: frozenset(
+            number
+            for number, each in enumerate(evidence.breaks)
+            if part in each.parts
+        )
+        for part in found
     }
+    positions = {
+        part: min(
+            each.parts.index(part)
+            for each in evidence.breaks
+            if part in each.parts
+        )
+        for part in found
+    }
+    return [
+        part
+        for part in found
+        if not any(
+            broken[part] < broken[other]
+            or (
+                broken[part] == broken[other]
+                and positions[part] > positions[other]
+            )
+            for other in found
+        )
+    ]
 
 
 def count_crashes(evidence: Evidence, part: Part) -> int:
--- a/packages/hemlockreel/hemlockreel/forwarding/replica_selection.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/replica_selection.py
@@ -171,7 +171,7 @@
     event: ranking.CandidatesRequested, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
     blocked = blocked_parts.find_refusal(
-        board, event.service, event.parts, now
+        board, event.service, event.parts, now, event.request_id
     )
     if blocked is not None:
         yield actions.Reply(event.request_id, blocked)
@@ -384,6 +384,6 @@
         )
     else:
         refused = blocked_parts.find_refusal(
-            board, event.service, event.parts, now
+            board, event.service, event.parts, now, event.request_id
         )
     yield actions.Reply(event.request_id, refused or usable)
--- a/packages/hemlockreel/hemlockreel/messages/parts.py
+++ b/packages/hemlockreel/hemlockreel/messages/parts.py
@@ -3,6 +3,8 @@
 See :mod:`hemlockreel.forwarding.blocked_parts`.
 """
 
+import math
+
 import msgspec
 
 from . import shared
@@ -18,12 +20,14 @@
 class BlockedPart(msgspec.Struct, frozen=True, array_like=True):
     """A part that is blocked for ``for_s`` seconds more.
 
-    ``times`` counts how often it has been blocked, this time included.
+    ``times`` counts how often it has been blocked, this time included. One
+    request is tried after ``trial_in_s``.
     """
 
     part: PromptPart
     for_s: float
     times: int = 1
+    trial_in_s: float = math.inf
 
 
 class RunBroke(shared.Message):
