Keep a block when the store comes back from an outage

A block that rests on answers of replicas which are still listed 10 s later ends, since those were cut on their way. The store must have been there for these 10 s. The test fails without that.

--- a/packages/hemlockreel/hemlockreel/forwarding/blocked_parts.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/blocked_parts.py
@@ -492,11 +492,16 @@
 ) -> Iterable[actions.Action]:
     """Drops answers that were broken off by a replica that goes on running.
 
-    They were cut on their way. A block that rests on them ends.
+    They were cut on their way. A block that rests on them ends. A store that
+    was away still lists replicas that have crashed meanwhile.
     """
     state = board.state(State)
     known = board.state(instances.State)
-    if known.is_store_unavailable:
+    returned_at = known.store_returned_at or -math.inf
+    if (
+        known.is_store_unavailable
+        or now - returned_at <= crash_evidence.DISPROOF_S
+    ):
         return
     dropped = [
         each
--- a/packages/hemlockreel/tests/forwarding/test_blocked_parts.py
+++ b/packages/hemlockreel/tests/forwarding/test_blocked_parts.py
@@ -119,6 +119,27 @@
     assert not fleet.blocking(SUBJECT)
 
 
+# BUDGET: a store that comes back lists servers that crashed while it was away.
+def test_a_block_outlasts_an_outage_of_the_store(fleet):
+    found = tuple(
+        rigs.engine(f"d{number}", "decode")._replace(born=7)
+        for number in (1, 2, 3)
+    )
+    for host in fleet.hosts:
+        fleet.fabric.post(host, instances.InstancesListed(found))
+        fleet.fabric.post(host, instances.StoreUnavailable())
+    for number in range(3):
+        fleet.crash((BAD,), at=number)
+    fleet.fabric.run(11.0)
+    for host in fleet.hosts:
+        fleet.fabric.post(host, instances.InstancesListed(found))
+    fleet.fabric.run(3.0)
+    for host in fleet.hosts:
+        fleet.fabric.post(host, instances.InstancesListed(()))
+    fleet.fabric.run(12.0)
+    assert fleet.blocking(BAD) == set(fleet.hosts)
+
+
 @pytest.mark.parametrize("restored", [False, True])
 def test_blocks_outlast_all_hosts(fleet, restored):
     """All hosts are killed at once, maybe after a restore of the store."""
