--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
@@ -94,6 +94,8 @@
             replicas=self._record.reached_ids,
             prefilled=self._record.was_prefilled,
             parts=demand.shared_parts,
+            software=self._record.software,
+            resumes=self.job.request.resumes,
         )
 
     def _run(self) -> outcomes.Refused | None:
@@ -180,7 +182,9 @@
                 replica_selection.PrefillResultUsed(prefilled.instance, True)
             )
         events = self._record.events
-        refused = stream_forwarding.forward_response(self, self._record, head)
+        refused = stream_forwarding.forward_response(
+            self, self._record, head, reserved.instance.software
+        )
         result.succeeded = refused is None
         if head.status != stream_forwarding.OK or self.box.stopped is not None:
             return refused
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/interfaces.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/interfaces.py
@@ -53,7 +53,8 @@
     caller waits, ``None`` if not given. ``demand`` is set for a request to a
     model. ``resume_after`` is the id of the last event that the caller has
     received. ``caller`` identifies who sent the request, as far as that can
-    be told.
+    be told. ``resumes`` is the id of the request that brought the
+    first event of a stream that is resumed here.
     """
 
     id: str
@@ -67,6 +68,7 @@
     demand: Demand | None
     resume_after: str
     caller: str = ""
+    resumes: str = ""
 
 
 class InvalidRequest(NamedTuple):
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/stream_forwarding.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/stream_forwarding.py
@@ -16,11 +16,12 @@
     handler: request_handler.RequestHandler,
     record: progress.Progress,
     head: interfaces.ResponseHead,
+    software: str = "",
 ) -> outcomes.Refused | None:
     """Forwards a response; returns why it ended early, ``None`` if complete.
 
     Only a response with status 200 is streamed. Any other is forwarded as a
-    whole.
+    whole. ``software`` is the version of the replica's software.
     """
     opened = head.opened
     splitter = event_stream.Splitter(record.last_event_id)
@@ -35,7 +36,7 @@
                 return outcomes.may_have_run(
                     outcomes.Reason.BACKEND_FAILED, detail
                 )
-            return _forward_events(handler, record, head, splitter)
+            return _forward_events(handler, record, head, splitter, software)
     except http_calls.CALL_ERRORS as error:
         failed = http_calls.to_failure(error)
         return request_handler.refusal_for(
@@ -54,6 +55,7 @@
     record: progress.Progress,
     head: interfaces.ResponseHead,
     splitter: event_stream.Splitter,
+    software: str,
 ) -> outcomes.Refused | None:
     if not handler.exchange.has_started and not handler.exchange.start(
         head.status, head.headers
@@ -76,6 +78,8 @@
         if not data:
             break
         whole = splitter.feed(data)
+        if whole and record.software is None:
+            record.software = software
         if whole and record.note_event(clock.now()):
             first_s = record.first_event_at - handler.job.arrived
             handler.tools.daemon.metrics.first_token.observe(first_s)
--- a/packages/hemlockreel/hemlockreel/forwarding/instances.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/instances.py
@@ -38,6 +38,7 @@
     ``address`` is ``IP:PORT``. ``born`` is the start of the process in Unix
     milliseconds and distinguishes two runs with the same ``id``. A
     ``draining`` replica finishes its requests and gets no new ones.
+    ``software`` is the version of its software.
     """
 
     id: str
@@ -48,6 +49,7 @@
     draining: bool = False
     stage: Stage = Stage.PLAIN
     born: int = 0
+    software: str = ""
 
 
 class InstancesListed(NamedTuple):
--- a/standins/hemlockreel_standins/forwarding_rig.py
+++ b/standins/hemlockreel_standins/forwarding_rig.py
@@ -264,12 +264,17 @@
         demand: interfaces.Demand | None = DEMAND,
         deadline_s: float = 14.0,
         gone: bool = False,
+        resume_after: str = "",
+        resumes: str = "",
     ) -> Exchange:
-        """Handles one request and returns the recorded response."""
+        """Handles one request and returns the recorded response.
+
+        With ``resume_after`` it resumes a stream that ``resumes`` began.
+        """
         self.box = self.loop.box = mailbox.Mailbox()
         request = interfaces.CallerRequest(
             "id", "POST", "/assess/1", "/assess/1", "a.example", (), b"",
-            deadline_s, demand, "",
+            deadline_s, demand, resume_after, resumes=resumes,
         )  # fmt: skip
         job = request_handler.Job(request, route, service, 1, clock.now())
         tools = request_handler.Tools(
--- a/tests/hemlockreel_platform/test_callers.py
+++ b/tests/hemlockreel_platform/test_callers.py
@@ -60,6 +60,12 @@
     assert request.demand.estimated_output == 80
 
 
+def test_a_resumed_stream_names_the_request_that_began_it():
+    request = decode(("Last-Event-Id", "4"), ("Resumes", "8a11"))
+    assert (request.resume_after, request.resumes) == ("4", "8a11")
+    assert ("Resumes", "8a11") in request.headers
+
+
 @pytest.mark.parametrize("name", sorted(wire_names.SYSTEM_HEADERS))
 def test_headers_that_only_the_system_may_set_are_dropped(name):
     request = decode((name.upper(), "5"))
