--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/progress.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/progress.py
@@ -14,8 +14,8 @@
     request, in order. ``software`` is the version of the software that writes
     the stream, ``None`` until it has begun. ``longest_pause_s`` is the longest
     time between two events so far. ``deliveries`` counts the attempts that
-    reached replicas of both stages; each one after the first takes a retry from the
-    budget. ``refused_runs`` counts the runs that a replica refused.
+    reached replicas of both stages; each one after the first takes a retry
+    from the budget. ``refused_runs`` counts the runs that a replica refused.
     ``was_prefilled`` is set once a prefill replica has processed the prompt,
     ``decode_prefills`` if the decode replica does the prefill from now on.
 
