Resume a stream only at the software version that began it

The class: a fact that binds later choices was kept in no place that the next host can ask.

The version of the first whole event now binds the answer. Over a caller's attempts the recorders know it: three hosts that are told of each stream while a service has several versions, with a record in the store for the loss of all hosts. A stream goes on if its version is known, or if one version only may have begun it; else it is refused at once as not run, with the new reason stream_lost.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
@@ -276,7 +276,8 @@
                 outcomes.Reason.UNKNOWN_ROUTE, detail=detail
             )
         service = found.services.get(
-            deployments.pick_service(route, request.id)
+            # A stream goes on at the service that began it.
+            deployments.pick_service(route, request.resumes or request.id)
         )
         if service is None:
             reason = outcomes.Reason.NO_BACKEND
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
@@ -10,8 +10,10 @@
 
 from hemlockreel.forwarding import instances
 from hemlockreel.forwarding import replica_selection
+from hemlockreel.forwarding import stream_versions
 
 from .. import clock
+from .. import mailbox
 from . import interfaces
 from . import progress
 from . import remote_prefill
@@ -94,12 +96,15 @@
             replicas=self._record.reached_ids,
             prefilled=self._record.was_prefilled,
             parts=demand.shared_parts,
-            software=self._record.software,
+            software=self.software,
             resumes=self.job.request.resumes,
         )
 
     def _run(self) -> outcomes.Refused | None:
         """Runs until the stream is complete, or returns why it is not."""
+        refused = self._find_software()
+        if refused is not None:
+            return refused
         while True:
             reserved = reservation.reserve(self, self._record)
             if isinstance(reserved, outcomes.Refused):
@@ -116,11 +121,45 @@
                 from_event=self._record.last_event_id,
             )
 
+    def _find_software(self) -> outcomes.Refused | None:
+        """Finds out which version began a stream that a caller resumes."""
+        request = self.job.request
+        if not request.resume_after:
+            return None
+        self.post(
+            stream_versions.SoftwareRequested(
+                self._key, self.job.service.name, request.resumes
+            )
+        )
+        found = self._receive(request_handler.LOOP_TIMEOUT_S)
+        if isinstance(found, stream_versions.Found):
+            self.software = found.software
+            return None
+        if isinstance(found, outcomes.Refused):
+            return found
+        if isinstance(found, mailbox.Stopped):
+            return outcomes.not_run(found.reason)
+        return outcomes.not_run(
+            outcomes.Reason.OVERLOADED, request_handler.RETRY_SOON_S
+        )
+
+    def begin_stream(self, software: str) -> None:
+        """Notes that replicas of ``software`` write this stream."""
+        if self.software is not None:
+            return
+        self.software = software
+        if self.job.route.resumable:
+            self.post(
+                stream_versions.StreamBegun(
+                    self.job.request.id, self.job.service.name, software
+                )
+            )
+
     def _may_retry(self, refused: outcomes.Refused) -> bool:
         route = self.job.route
         if self.left_s() <= 0:
             return False
-        if refused.reason in request_handler.BLOCKED:
+        if refused.reason in request_handler.FINAL_REASONS:
             return False
         if refused.ran is outcomes.Ran.NOT_RUN:
             self._record.refused_runs += 1
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/progress.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/progress.py
@@ -11,8 +11,7 @@
     ``events`` counts the events that were sent to the caller,
     ``last_event_id`` is the id of the last and ``first_event_at`` the time of
     the first one. ``reached_ids`` lists the decode replicas that received the
-    request, in order. ``software`` is the version of the software that writes
-    the stream, ``None`` until it has begun. ``longest_pause_s`` is the longest
+    request, in order. ``longest_pause_s`` is the longest
     time between two events so far. ``deliveries`` counts the attempts that
     reached replicas of both stages; each one after the first takes a retry
     from the budget. ``refused_runs`` counts the runs that a replica refused.
@@ -31,7 +30,6 @@
         self._last_event_at = 0.0
         self._run_first_event_at: float | None = None
         self.reached_ids: tuple[str, ...] = ()
-        self.software: str | None = None
         self.deliveries = 0
         self.refused_runs = 0
         self.was_prefilled = False
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/remote_prefill.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/remote_prefill.py
@@ -40,7 +40,7 @@
     for _ in range(MAX_ATTEMPTS):
         found = handler.find_candidates(instances.Stage.PREFILL, tokens, tried)
         if isinstance(found, outcomes.Refused):
-            is_blocked = found.reason in request_handler.BLOCKED
+            is_blocked = found.reason in request_handler.FINAL_REASONS
             return found if is_blocked else None
         if (
             record.deliveries or record.was_prefilled
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
@@ -45,9 +45,10 @@
     outcomes.Reason.INTERNAL_ERROR: 500,
 }
 # Why a request is not sent to any replica more.
-BLOCKED = (
+FINAL_REASONS = (
     outcomes.Reason.PROMPT_BLOCKED,
     outcomes.Reason.REQUEST_BLOCKED,
+    outcomes.Reason.STREAM_LOST,
 )
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
@@ -97,7 +98,8 @@
     receives the replies of the loop and the signal to stop. ``parts`` are the
     ids of what may crash a replica, see :mod:`blocked_parts`: the shared parts
     of the prompt and the request itself. ``has_broken`` is set once a replica
-    has broken the request off.
+    has broken the request off. ``software`` is the version of the software
+    that writes the stream, ``None`` until it has begun.
     """
 
     def __init__(
@@ -117,6 +119,7 @@
         shared_parts = () if demand is None else demand.shared_parts
         self.parts = (*shared_parts, *content_keys.find(job.request))
         self.has_broken = False
+        self.software: str | None = None
         self.sent = 0
         self.ran = False
         self.tried: list[str] = []
@@ -166,6 +169,7 @@
             demand.estimated_output,
             self.parts,
             self.has_broken,
+            self.software if stage is instances.Stage.DECODE else None,
         )
         self.post(asked)
         value = self._receive(LOOP_TIMEOUT_S)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/stream_forwarding.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/stream_forwarding.py
@@ -78,8 +78,8 @@
         if not data:
             break
         whole = splitter.feed(data)
-        if whole and record.software is None:
-            record.software = software
+        if whole:
+            handler.begin_stream(software)
         if whole and record.note_event(clock.now()):
             first_s = record.first_event_at - handler.job.arrived
             handler.tools.daemon.metrics.first_token.observe(first_s)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/metrics.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/metrics.py
@@ -19,6 +19,7 @@
     "replica_pauses": ("Pauses that replicas asked of this host.", ()),
     "replica_limits": ("News of limits that replicas name.", ()),
     "blocked_parts": ("Parts of prompts taken for crashing.", ()),
+    "unknown_streams": ("Streams that could not be resumed.", ()),
     "late_moves": ("News of moves that a later one had undone.", ()),
     "orders": ("Orders sent to engines.", ("order",)),
     "order_failures": ("Orders without success.", ("reason",)),
--- a/packages/hemlockreel/hemlockreel/core.py
+++ b/packages/hemlockreel/hemlockreel/core.py
@@ -42,6 +42,8 @@
 from .forwarding import replica_selection
 from .forwarding import stage_assignment
 from .forwarding import store_fanout
+from .forwarding import stream_records
+from .forwarding import stream_versions
 
 # The order matters: membership runs before the controllers that use its table,
 # so that they see the table as updated by the same event.
@@ -82,6 +84,8 @@
     replica_limits,
     blocked_parts,
     block_records,
+    stream_versions,
+    stream_records,
     replica_selection,
     leader,
     stage_assignment,
--- a/packages/hemlockreel/hemlockreel/forwarding/ranking.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/ranking.py
@@ -33,7 +33,8 @@
     its output in tokens. ``parts`` are the ids of the shared parts of its
     prompt and of the request itself. An ``is_retry`` request was sent to a
     replica before and uses the retry budget, and ``has_broken`` if a replica
-    broke it off. ``exclude`` lists ids of replicas.
+    broke it off. ``exclude`` lists ids of replicas. Only replicas of the
+    version ``software`` are wanted, of any if it is ``None``.
     """
 
     request_id: str
@@ -46,6 +47,7 @@
     estimated_output: int = 0
     parts: tuple[str, ...] = ()
     has_broken: bool = False
+    software: str | None = None
 
 
 class State:
@@ -73,6 +75,7 @@
         each
         for each in instances.usable(known, event.service, now, event.stage)
         if each.id not in event.exclude
+        and event.software in (None, each.software)
         and not replica_pauses.is_paused(board, each, now)
         and not (
             event.stage is instances.Stage.PREFILL
--- a/packages/hemlockreel/hemlockreel/forwarding/replica_selection.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/replica_selection.py
@@ -188,6 +188,13 @@
         yield actions.Reply(event.request_id, refused)
         return
     found = ranking.rank(board, event, now)
+    if not found and _is_version_gone(board, event, now):
+        refused = outcomes.not_run(
+            outcomes.Reason.STREAM_LOST,
+            detail=f"no replica of {event.software!r}, its version, is left",
+        )
+        yield actions.Reply(event.request_id, refused)
+        return
     if not found:
         wait_s = _wait_for_paused_s(board, event, now)
         if wait_s is not None:
@@ -223,6 +230,17 @@
     )
 
 
+def _is_version_gone(
+    board: boards.Board, event: ranking.CandidatesRequested, now: float
+) -> bool:
+    """Returns whether the wanted version has left the service."""
+    known = board.state(instances.State)
+    return event.software is not None and not any(
+        each.software == event.software
+        for each in instances.remaining(known, event.service, now)
+    )
+
+
 def _wait_for_paused_s(
     board: boards.Board, event: ranking.CandidatesRequested, now: float
 ) -> float | None:
--- a/packages/hemlockreel/hemlockreel/messages/__init__.py
+++ b/packages/hemlockreel/hemlockreel/messages/__init__.py
@@ -49,6 +49,10 @@
 from .requests import Revoked
 from .requests import Withdraw
 from .shared import Message
+from .streams import BegunStream
+from .streams import StreamAsked
+from .streams import StreamKnown
+from .streams import StreamsBegun
 from .wire import AnyMessage
 from .wire import decode
 from .wire import encode
@@ -58,6 +62,7 @@
     "Ack",
     "AdmissionRequest",
     "AnyMessage",
+    "BegunStream",
     "BlockedPart",
     "DocumentOffer",
     "DocumentUpdate",
@@ -95,6 +100,9 @@
     "RunBroke",
     "ShardPlan",
     "ShardReport",
+    "StreamAsked",
+    "StreamKnown",
+    "StreamsBegun",
     "Sync",
     "SyncRequest",
     "Withdraw",
--- a/packages/hemlockreel/hemlockreel/messages/wire.py
+++ b/packages/hemlockreel/hemlockreel/messages/wire.py
@@ -9,6 +9,7 @@
 from . import replication
 from . import requests
 from . import shared
+from . import streams
 
 AnyMessage = (
     members.Ping
@@ -47,6 +48,9 @@
     | parts.RunBroke
     | parts.PartsWorked
     | parts.PartsJudged
+    | streams.StreamsBegun
+    | streams.StreamAsked
+    | streams.StreamKnown
 )
 
 _decoder = msgspec.msgpack.Decoder(AnyMessage)
--- a/packages/hemlockreel/hemlockreel/outcomes.py
+++ b/packages/hemlockreel/hemlockreel/outcomes.py
@@ -38,6 +38,7 @@
     BACKEND_PAUSED = "backend_paused"
     PROMPT_BLOCKED = "prompt_blocked"
     REQUEST_BLOCKED = "request_blocked"
+    STREAM_LOST = "stream_lost"
     REVOKED = "grant_revoked"
     CALLER_GONE = "caller_gone"
     INTERNAL_ERROR = "internal_error"
--- a/standins/hemlockreel_standins/parts_rig.py
+++ b/standins/hemlockreel_standins/parts_rig.py
@@ -10,17 +10,19 @@
 
 from hemlockreel.forwarding import block_records
 from hemlockreel.forwarding import blocked_parts
+from hemlockreel.forwarding import stream_records
 
 from . import fabric
 
 SETTLED_S = 3.0  # the platform's stability_ms
+KINDS = (block_records.KIND, stream_records.KIND)
 
 
 class Fleet:
     """Hosts on a simulated network, with a store and numbered crashes.
 
     ``objects`` are the store's objects by path, ``calls`` counts the calls
-    on them.
+    on those with blocks. With ``store_is_down`` all calls fail.
     """
 
     def __init__(self, hosts: int = 13):
@@ -33,6 +35,8 @@
         self.revision = 5
         self.era = 1
         self.calls = 0
+        self.writes = 0
+        self.store_is_down = False
         self.crashes = 0
         self.hosts = [f"10.0.0.{number}:9" for number in range(hosts)]
         self.start(self.hosts)
@@ -46,9 +50,11 @@
     def _call(self, host: str, action: Any) -> Any:
         if not isinstance(action, actions.CallStore):
             return None
-        if block_records.KIND not in action.path:
+        is_known = any(kind in action.path for kind in KINDS)
+        if self.store_is_down or not is_known:
             return events.StoreResponded(action.call_id, 503, {}, era=self.era)
-        self.calls += 1
+        self.calls += block_records.KIND in action.path
+        self.writes += action.method == "PUT"
         status, body = self._respond(action)
         return events.StoreResponded(
             action.call_id, status, body, era=self.era
--- /dev/null
+++ b/standins/hemlockreel_standins/stream_rig.py
@@ -0,0 +1,78 @@
+"""Hosts that begin streams at two software versions, and resume them.
+
+The hosts run on a simulated network. Which version began which stream is
+kept here.
+"""
+
+import itertools
+
+from hemlockreel import actions
+from hemlockreel import outcomes
+
+from hemlockreel.forwarding import instances
+from hemlockreel.forwarding import stream_versions
+
+from . import forwarding_rig
+from . import parts_rig
+
+SERVICE = "lesar"
+REPLY_S = 0.6  # until a host has replied, whatever its recorders do
+
+
+class Site:
+    """A fleet of hosts; ``began`` is the version of each stream by its id."""
+
+    def __init__(self, hosts: int = 13, software: tuple[str, ...] = ("v1",)):
+        self.fleet = parts_rig.Fleet(hosts)
+        self.began: dict[str, str] = {}
+        self._numbers = itertools.count(1)
+        self.list_versions(*software)
+
+    @property
+    def hosts(self) -> list[str]:
+        """The hosts that run."""
+        return list(self.fleet.fabric.boards)
+
+    def list_versions(self, *software: str, hosts: tuple[str, ...] = ()):
+        """Shows hosts, all if none are named, engines of these versions."""
+        listed = tuple(
+            forwarding_rig.engine(f"d-{each}-{number}", "decode")._replace(
+                software=each, born=1
+            )
+            for each in software
+            for number in (1, 2)
+        )
+        for host in hosts or self.hosts:
+            event = instances.InstancesListed(listed)
+            self.fleet.fabric.post(host, event)
+
+    def begin(self, host: str, software: str) -> str:
+        """Begins a stream at ``host``; returns its id."""
+        id = f"s{next(self._numbers)}"
+        self.began[id] = software
+        begun = stream_versions.StreamBegun(id, SERVICE, software)
+        self.fleet.fabric.post(host, begun)
+        return id
+
+    def ask(self, host: str, id: str) -> str | outcomes.Refused:
+        """Returns the version at which ``host`` would resume a stream."""
+        worker = f"w{next(self._numbers)}"
+        asked = stream_versions.SoftwareRequested(worker, SERVICE, id)
+        self.fleet.fabric.post(host, asked)
+        self.fleet.fabric.run(REPLY_S)
+        (value,) = [
+            each.value
+            for each in self.fleet.fabric.performed(host, actions.Reply)
+            if each.request_id == worker
+        ]
+        if isinstance(value, stream_versions.Found):
+            return value.software
+        return value
+
+    def restart_all(self, off_s: float = 1.0) -> None:
+        """Kills all hosts at once, and starts them again."""
+        for host in self.hosts:
+            self.fleet.fabric.kill(host)
+        self.fleet.fabric.run(off_s)
+        run = int(self.fleet.fabric.now)
+        self.fleet.start(self.fleet.hosts, run)
