Play two software versions in the soak, and check each stream for a seam

Engines are now replaced by newer software, all or half of them, callers resume what was cut, up to three times, and a stream over all of its attempts must be of one version.

--- a/standins/hemlockreel_standins/soak/backends.py
+++ b/standins/hemlockreel_standins/soak/backends.py
@@ -84,9 +84,11 @@
         id: str,
         stage: str | None = None,
         crashing_parts: CrashingParts | None = None,
+        software: str = "v1",
     ):
         super().__init__(stage)
         self.id = id
+        self.software = software
         self._crashing_parts = crashing_parts or CrashingParts(
             lambda replica, part: None
         )
@@ -101,6 +103,7 @@
         return {
             **super().entry(service, zone, state),
             "address": self.public_address,
+            "version": self.software,
         }
 
     def sweep(self) -> None:
@@ -215,7 +218,8 @@
             "Transfer-Encoding: chunked",
         )
         first = int(arrival.headers.get("last-event-id") or 0) + 1
-        for event in records.stream_events(id, first):
+        name = records.stream_name(arrival.target)
+        for event in records.stream_events(name, first, self.software):
             time.sleep(EVENT_GAP_S)
             yield platform_replica.encode_chunk(event)
             if part:
--- a/standins/hemlockreel_standins/soak/callers.py
+++ b/standins/hemlockreel_standins/soak/callers.py
@@ -12,6 +12,7 @@
 import socket
 import threading
 import time
+from typing import NamedTuple
 import zlib
 
 from .. import platform_replica
@@ -24,8 +25,10 @@
 DEADLINE_S = 2.0
 MAX_REQUESTS_PER_CONNECTION = 30
 PAUSE_S = 0.05
+READ_BYTES = 65536
 PART_PAUSE_S = 0.6  # between the prompts with a crashing part
 RESOLVE_RETRY_S = 0.2
+MAX_RESUMES = 3  # attempts to go on with a stream that was cut
 ABANDONED_SHARE = 0.05  # of the streams, closed by the caller before they end
 FAILURES = (OSError, client.HTTPException, ValueError)
 
@@ -39,6 +42,20 @@
 SUBJECTS = 5  # each is a part that several prompts have
 
 
+class _Cut(NamedTuple):
+    """A stream that was cut after the event ``after``.
+
+    The request ``id`` brought its first event, and ``attempts`` were made to
+    resume it.
+    """
+
+    id: str
+    target: str
+    after: int
+    headers: dict[str, str]
+    attempts: int = 0
+
+
 class Caller:
     """A caller that sends one request after another.
 
@@ -46,7 +63,8 @@
     addresses that callers connect to. With ``refreshes_late`` the caller
     caches addresses for longer than their time to live, and its connection
     outlasts them. With ``part`` it sends only prompts that have this part, or
-    the plain request to this path, each over a connection of its own.
+    the plain request to this path, each over a connection of its own. A
+    stream that was cut is resumed by the next request.
     """
 
     def __init__(
@@ -69,6 +87,7 @@
         self._addresses: list[str] = []
         self._fresh_until = 0.0
         self._failed: set[str] = set()
+        self._cut: _Cut | None = None
 
     def run(self, stopping: threading.Event) -> None:
         """Sends requests until ``stopping`` is set."""
@@ -146,31 +165,55 @@
     def _send(self, connection: client.HTTPConnection, address: str) -> bool:
         """Sends one request; returns whether the connection can be reused."""
         id = f"{self._name}-{next(self._numbers)}"
+        cut = self._cut
         is_request = records.is_request(self._part)
         streams = not is_request and (
-            bool(self._part) or self._rng.random() < 0.4
+            bool(self._part) or cut is not None or self._rng.random() < 0.4
         )
         method, prefix = STREAM if streams else self._rng.choice(PLAIN)
         leaves = (
-            streams and not self._part and self._rng.random() < ABANDONED_SHARE
+            streams
+            and not self._part
+            and cut is None
+            and self._rng.random() < ABANDONED_SHARE
         )
         target = f"{prefix}{id}?q={id}"
         if is_request:
             target = self._part
             method = next(m for m, p in PLAIN if target.startswith(p))
-        headers = {
-            "Host": platform_site.HOST,
-            "Hemlockreel-Request-Id": id,
-            "Hemlockreel-Deadline-Ms": str(round(DEADLINE_S * 1000)),
-            **(self._model_headers(id) if streams else {}),
-        }
+        headers = self._model_headers(id) if streams else {}
+        if cut is not None:
+            target = cut.target
+            headers = {
+                **cut.headers,
+                "Last-Event-Id": str(cut.after),
+                "Resumes": cut.id,
+            }
         sent = records.Sent(
-            id, method, target, address, time.monotonic(), 0.0, part=self._part
+            id,
+            method,
+            target,
+            address,
+            time.monotonic(),
+            0.0,
+            part=self._part,
+            resumes=cut.id if cut else "",
+            after=cut.after if cut else 0,
         )
+        body = bytearray()
         connection.sock.settimeout(DEADLINE_S + 1.0)
         try:
-            body = b"{}" if method == "POST" else None
-            connection.request(method, target, body=body, headers=headers)
+            connection.request(
+                method,
+                target,
+                body=b"{}" if method == "POST" else None,
+                headers={
+                    "Host": platform_site.HOST,
+                    "Hemlockreel-Request-Id": id,
+                    "Hemlockreel-Deadline-Ms": str(round(DEADLINE_S * 1000)),
+                    **headers,
+                },
+            )
             response = connection.getresponse()
             sent = sent._replace(
                 status=response.status,
@@ -179,19 +222,45 @@
             if leaves and response.status == 200:
                 self._abandon(sent, connection, response)
                 return False
-            body = response.read()
-        except client.IncompleteRead as error:
-            self._record(sent, body=error.partial, error="cut")
-            return False
+            while data := response.read1(READ_BYTES):
+                body += data
+            response.read()  # ends the response, which read1() doesn't
         except FAILURES as error:
-            self._record(sent, error=repr(error))
+            is_cut = isinstance(error, client.IncompleteRead)
+            sent = sent._replace(
+                body=bytes(body), error="cut" if is_cut else repr(error)
+            )
+            self._record(sent)
+            self._note_cut(sent, headers)
             return False
-        self._record(sent, body=body, whole=True)
+        self._record(sent, body=bytes(body), whole=True)
+        if sent.status == 200:
+            self._cut = None
+        else:
+            self._note_cut(sent, headers)
         kept = not response.will_close
         if sent.status == 503:
             time.sleep(PAUSE_S)
         return kept
 
+    def _note_cut(self, sent: records.Sent, headers: dict[str, str]) -> None:
+        """Notes where to go on with a stream, unless that failed too often."""
+        if self._part or not sent.target.startswith(STREAM[1]):
+            return
+        events = records.parse_events(sent.body) if sent.status == 200 else []
+        after = events[-1][0] if events else sent.after
+        attempts = self._cut.attempts + 1 if self._cut else 0
+        self._cut = None
+        is_open = 0 < after < records.EVENTS_PER_STREAM
+        if is_open and attempts < MAX_RESUMES:
+            kept = {
+                name: value
+                for name, value in headers.items()
+                if name not in ("Last-Event-Id", "Resumes")
+            }
+            id = sent.resumes or sent.id
+            self._cut = _Cut(id, sent.target, after, kept, attempts)
+
     def _model_headers(self, id: str) -> dict[str, str]:
         part = self._part or f"{self._rng.randrange(SUBJECTS):08x}"
         own = f"{zlib.crc32(id.encode()):08x}"
--- a/standins/hemlockreel_standins/soak/plan.py
+++ b/standins/hemlockreel_standins/soak/plan.py
@@ -39,6 +39,7 @@
     PART_CRASHES = "part_crashes"  # prompts with a part that crashes engines
     REPLICA_LIMITED = "replica_limited"  # names how many requests it takes
     REQUEST_CRASHES = "request_crashes"  # one request crashes what runs it
+    SOFTWARE_RELEASED = "software_released"  # engines get a newer version
 
 
 # The relative frequency of each kind. Killing all hosts is rare, since it
@@ -73,6 +74,7 @@
     Kind.PART_CRASHES,
     Kind.REPLICA_LIMITED,
     Kind.REQUEST_CRASHES,
+    Kind.SOFTWARE_RELEASED,
 )
 LINK_MODES = ("delayed", "reset", "silent", "no_requests", "no_answers")
 REPLICA_MODES = (
--- a/standins/hemlockreel_standins/soak/promises.py
+++ b/standins/hemlockreel_standins/soak/promises.py
@@ -67,6 +67,7 @@
         *check_abandoned(log, runs),
         *check_expiries(log, bounds),
         *check_recovery(log.sent, bounds),
+        *check_seams(log.sent),
         *check_crashing_parts(log),
         *check_bystanders(log),
         *check_limits(log),
@@ -109,11 +110,38 @@
             continue
         wanted = records.response_body(each.id)
         if each.target.startswith("/drafts/"):
-            wanted = b"".join(records.stream_events(each.id))
+            name = records.stream_name(each.target)
+            writers = {by for _, by in records.parse_events(each.body)}
+            wanted = b"".join(
+                records.stream_events(name, each.after + 1, *writers)
+                if len(writers) == 1
+                else ()
+            )
         if not each.signed or each.body != wanted:
             yield Violation("whole", f"{each.id}: {each.body[-80:]!r}")
 
 
+def check_seams(sent: Iterable[records.Sent]) -> Iterator[Violation]:
+    """All events of a stream are of one software version, in order.
+
+    That holds over all attempts of a caller, whether they came to their end.
+    """
+    streams: dict[str, list[records.Sent]] = {}
+    for each in sent:
+        if each.target.startswith("/drafts/"):
+            streams.setdefault(each.resumes or each.id, []).append(each)
+    for id, attempts in streams.items():
+        found = [records.parse_events(each.body) for each in attempts]
+        writers = {by for events in found for _, by in events}
+        if len(writers) > 1:
+            yield Violation("order", f"{id} is joined from {sorted(writers)}")
+        for each, events in zip(attempts, found, strict=True):
+            numbers = [number for number, _ in events]
+            first = each.after + 1
+            if numbers != list(range(first, first + len(numbers))):
+                yield Violation("order", f"{each.id}: events {numbers}")
+
+
 def check_requested(
     sent: Iterable[records.Sent], runs: Iterable[records.Run]
 ) -> Iterator[Violation]:
--- a/standins/hemlockreel_standins/soak/records.py
+++ b/standins/hemlockreel_standins/soak/records.py
@@ -1,10 +1,12 @@
 """The records of a soak. All times are of ``time.monotonic``."""
 
+import re
 import threading
 from typing import Any
 from typing import NamedTuple
 
 EVENTS_PER_STREAM = 8
+EVENT = re.compile(rb"id: (\d+)\ndata: [^/\n]+/\d+/(\w+)\n\n")
 
 
 class Sent(NamedTuple):
@@ -13,7 +15,8 @@
     ``status`` is 0 if there was no response. ``whole`` tells whether the
     response ended as its framing requires. ``left_at`` is when the caller
     abandoned the request. ``part`` is what crashes replicas in it, a part of
-    its prompt or its own path and query; empty if it is sound.
+    its prompt or its own path and query; empty if it is sound. An attempt
+    that ``resumes`` the stream of an earlier one goes on ``after`` an event.
     """
 
     id: str
@@ -29,6 +32,8 @@
     left_at: float | None = None
     error: str = ""
     part: str = ""
+    resumes: str = ""
+    after: int = 0
 
 
 class Run(NamedTuple):
@@ -132,11 +137,24 @@
     return f"answer to {id}\n".encode() * 20
 
 
+def stream_name(target: str) -> str:
+    """Returns what all attempts at one stream have in common."""
+    return target.partition("?")[0].rpartition("/")[2]
+
+
 def stream_events(
-    id: str, first: int = 1, last: int = EVENTS_PER_STREAM
+    name: str, first: int = 1, software: str = "v1"
 ) -> list[bytes]:
-    """Returns the encoded events of the stream for the request ``id``."""
+    """Returns the events of a stream, as ``software`` encodes them."""
+    return [
+        f"id: {number}\ndata: {name}/{number}/{software}\n\n".encode()
+        for number in range(first, EVENTS_PER_STREAM + 1)
+    ]
+
+
+def parse_events(body: bytes) -> list[tuple[int, str]]:
+    """Returns the numbers of the whole events, and who wrote them."""
     return [
-        f"id: {number}\ndata: {id}/{number}\n\n".encode()
-        for number in range(first, last + 1)
+        (int(number), software.decode())
+        for number, software in EVENT.findall(body)
     ]
--- a/standins/hemlockreel_standins/soak/site.py
+++ b/standins/hemlockreel_standins/soak/site.py
@@ -28,6 +28,7 @@
 # then until entries without heartbeats expire.
 REWRITE_S = 1.5
 EXPIRE_S = 2.5
+RELEASE_GAP_S = 0.4  # between the engines that a release replaces
 LINK_DELAY_S = 0.3
 MAX_LOST_ANSWERS = 20  # responses, or fewer if the fault ends before
 # The moving route is served by one of these services at a time.
@@ -48,6 +49,7 @@
     def __init__(self, service: str, stage: str | None):
         self.service = service
         self.stage = stage
+        self.software = "v1"
         self.backend: backends.RecordingReplica | None = None
         self.link: link.Link | None = None
 
@@ -74,6 +76,7 @@
         self.closing = threading.Event()
         self._numbers = itertools.count(1)
         self._version = itertools.count(1)
+        self._software_numbers = itertools.count(2)
         self._served_by = SERVICES[0]
         self._moved_at = 0.0
         self._move = threading.Lock()
@@ -147,6 +150,7 @@
             name,
             replica.stage,
             self._crashing_parts,
+            replica.software,
         )
         replica.link = link.Link(replica.backend.address)
         replica.backend.public_address = replica.link.address
@@ -173,6 +177,23 @@
         old_link.close()
         old.close()
 
+    def release_software(self, number: int) -> None:
+        """Replaces engines one after the other by ones of a newer version.
+
+        With an even number some of them stay, and both versions serve.
+        """
+        software = f"v{next(self._software_numbers)}"
+        engines = [each for each in self.replicas if each.stage]
+        threads = []
+        for replica in engines if number % 2 else engines[::2]:
+            replica.software = software
+            thread = threading.Thread(target=self.replace, args=(replica,))
+            thread.start()
+            threads.append(thread)
+            self.closing.wait(RELEASE_GAP_S)
+        for thread in threads:
+            thread.join()
+
     def crash(
         self, replica: ReplicaSlot, restart_s: float = RESTART_S
     ) -> None:
--- a/standins/tests/soak/test_play.py
+++ b/standins/tests/soak/test_play.py
@@ -54,3 +54,15 @@
     found = play.play(1, 1.0, 4, 8, tmp_path, choices)
     assert found.log.part_crashes
     assert found.violations == []
+
+
+# ORDER of issue 27: streams were joined from two software versions.
+def test_resumed_streams_have_no_seam_after_releases(tmp_path):
+    choices = plan.Choices(
+        (plan.Kind.SOFTWARE_RELEASED, plan.Kind.ALL_KILLED,
+         plan.Kind.HOST_KILLED, plan.Kind.REPLICA_FAILS),
+        ("own_torn",),
+    )  # fmt: skip
+    found = play.play(5, 8.0, 4, 12, tmp_path, choices)
+    assert found.violations == []
+    assert any(each.resumes and each.whole for each in found.log.sent)
--- a/standins/tests/soak/test_promises.py
+++ b/standins/tests/soak/test_promises.py
@@ -52,24 +52,53 @@
 
 
 @pytest.mark.parametrize(
-    "changes",
+    "changes, expected",
     [
-        {"body": records.response_body("b")},
-        {"body": records.response_body("a")[:-1]},
-        {"signed": False},
-        {
-            "prefix": "/drafts/",
-            "body": b"".join(records.stream_events("a", 1, 7)),
-        },
-        {
-            "prefix": "/drafts/",
-            "body": b"".join(records.stream_events("a")) * 2,
-        },
+        ({"body": records.response_body("b")}, {"whole"}),
+        ({"body": records.response_body("a")[:-1]}, {"whole"}),
+        ({"signed": False}, {"whole"}),
+        (
+            {
+                "prefix": "/drafts/",
+                "body": b"".join(records.stream_events("a")[:7]),
+            },
+            {"whole"},
+        ),
+        (
+            {
+                "prefix": "/drafts/",
+                "body": b"".join(records.stream_events("a")) * 2,
+            },
+            {"whole", "order"},
+        ),
     ],
 )
-def test_success_with_wrong_or_incomplete_response(changes):
+def test_success_with_wrong_or_incomplete_response(changes, expected):
     sent = sent_request(**changes)
-    assert violated_promises(sent, run_of(sent)) == {"whole"}
+    assert violated_promises(sent, run_of(sent)) == expected
+
+
+def stream_part(first, last, software, **changes):
+    events = records.stream_events("a", first, software)
+    body = b"".join(events[: last - first + 1])
+    return sent_request("a", "/drafts/", body=body, **changes)
+
+
+@pytest.mark.parametrize(
+    "first, second, expected",
+    [
+        ((1, 3, "v1"), (4, 8, "v1"), set()),
+        ((1, 3, "v1"), (4, 8, "v2"), {"order"}),
+        ((1, 3, "v1"), (5, 8, "v1"), {"order", "whole"}),
+        ((1, 3, "v2"), (3, 8, "v2"), {"order", "whole"}),
+    ],
+)
+def test_a_stream_that_a_caller_resumes_has_no_seam(first, second, expected):
+    """ORDER of issue 27: the rest came from another software version."""
+    cut = stream_part(*first, whole=False, error="cut")
+    rest = stream_part(*second, resumes="a", after=3)._replace(id="b")
+    found = [cut, rest, run_of(cut), run_of(rest)]
+    assert violated_promises(*found) & {"order", "whole"} == expected
 
 
 @pytest.mark.parametrize("status", [302, 400, 404, 500])
