Play streams of several versions, and crashing requests, in any order

A state machine releases versions and begins streams at all hosts, which are killed, frozen, cut off and lose power at once, while the store is restored or away; after each step every host is asked for every stream that a caller may resume. The machine for blame now also has a request that comes again.

--- a/packages/hemlockreel/tests/forwarding/test_blame_in_any_order.py
+++ b/packages/hemlockreel/tests/forwarding/test_blame_in_any_order.py
@@ -32,6 +32,7 @@
 # The entry of a replica that crashed disappears after this.
 ENTRY_S = 4.0
 COUNTED_CRASHES = 5  # after which no more than three prompts are sent
+COUNTED_REQUEST_CRASHES = 3  # the same for one request
 MAX_LATE = 3
 # A block that rests on cut streams ends when the replicas are still listed.
 MAX_SOUND_BLOCK_S = crash_evidence.DISPROOF_S + 2 * blocked_parts.PERIOD_S
@@ -151,10 +152,14 @@
             return
         if self.is_in_touch(host):
             self.crashes.append(now)
-            known = self.crashes[:COUNTED_CRASHES]
-            if len(known) == COUNTED_CRASHES:
+            is_request = self.bad.startswith(crash_evidence.REQUEST_PREFIX)
+            counted = (
+                COUNTED_REQUEST_CRASHES if is_request else COUNTED_CRASHES
+            )
+            known = self.crashes[:counted]
+            if len(known) == counted:
                 self.late += now > known[-1] + parts_rig.SETTLED_S
-        assert self.late <= MAX_LATE, "after five crashes"
+        assert self.late <= MAX_LATE, "after the counted crashes"
         # An engine that ends soon after it was cut off can't be cleared.
         if now - self.rare_cut_at < MAX_SOUND_BLOCK_S:
             self.is_rare_crashed = True
@@ -187,6 +192,13 @@
         self.bad = f"bad{self.number}"
         self.crashes, self.late = [], 0
 
+    @stateful.rule()
+    def crash_on_a_request(self):
+        """The same request comes again, and crashes what runs it."""
+        self.number += 1
+        self.bad = f"{crash_evidence.REQUEST_PREFIX}{self.number}"
+        self.crashes, self.late = [], 0
+
     @stateful.rule(is_one=strategies.booleans())
     def cut_beside_crashes(self, is_one):
         """Two crashes cut two requests with a part, or four the same one."""
--- a/standins/hemlockreel_standins/stream_rig.py
+++ b/standins/hemlockreel_standins/stream_rig.py
@@ -56,18 +56,30 @@
 
     def ask(self, host: str, id: str) -> str | outcomes.Refused:
         """Returns the version at which ``host`` would resume a stream."""
-        worker = f"w{next(self._numbers)}"
-        asked = stream_versions.SoftwareRequested(worker, SERVICE, id)
-        self.fleet.fabric.post(host, asked)
+        (found,) = self.ask_all([(host, id)])
+        return found
+
+    def ask_all(
+        self, asked: list[tuple[str, str]]
+    ) -> list[str | outcomes.Refused]:
+        """Returns what hosts that are asked at once say of streams."""
+        workers = []
+        for host, id in asked:
+            workers.append(f"w{next(self._numbers)}")
+            event = stream_versions.SoftwareRequested(workers[-1], SERVICE, id)
+            self.fleet.fabric.post(host, event)
         self.fleet.fabric.run(REPLY_S)
-        (value,) = [
-            each.value
+        replies = {
+            each.request_id: each.value
+            for host in {host for host, _ in asked}
             for each in self.fleet.fabric.performed(host, actions.Reply)
-            if each.request_id == worker
+        }
+        return [
+            found.software
+            if isinstance(found, stream_versions.Found)
+            else found
+            for found in (replies[worker] for worker in workers)
         ]
-        if isinstance(value, stream_versions.Found):
-            return value.software
-        return value
 
     def restart_all(self, off_s: float = 1.0) -> None:
         """Kills all hosts at once, and starts them again."""
