Tell judges that start what broke before

Its four hosts had all restarted in the nine seconds before, one after the other, and the judges keep reports of crashes in memory only, so each restart began blame anew: the part was blamed 10 s after its first crash. A judge now tells another one that starts, or becomes a judge, the last 64 broken answers that it knows; one that is known already is not counted twice. The new test fails without that.

--- a/packages/hemlockreel/hemlockreel/forwarding/blocked_parts.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/blocked_parts.py
@@ -55,6 +55,7 @@
 # How long a request is suspected after it broke off at several replicas.
 SUSPECTED_S = 10.0
 MAX_SUSPECTED = 1024
+MAX_RETOLD = 64  # broken answers that a judge tells another one
 
 Part = crash_evidence.Part
 
@@ -105,7 +106,8 @@
 
     The rest is used by judges. ``unjudged_at`` is the time of the last
     report, ``unasked`` are parts of broken answers about which the hosts
-    have not been asked since.
+    have not been asked since. ``told`` are the runs of other judges that
+    have got this one's evidence.
     """
 
     def __init__(self):
@@ -120,6 +122,7 @@
         self.evidence = crash_evidence.Evidence()
         self.unjudged_at: float | None = None
         self.unasked: set[Part] = set()
+        self.told: frozenset[tuple[str, int]] = frozenset()
         self.next_message_at = 0.0
 
 
@@ -332,9 +335,10 @@
     state = board.state(State)
     parts = tuple(event.parts[: crash_evidence.MAX_PARTS])
     broken = crash_evidence.Break(
-        now, event.request, event.replica, event.born, parts
+        now - event.age_s, event.request, event.replica, event.born, parts
     )
-    state.evidence.breaks.append(broken)
+    if not crash_evidence.add_break(state.evidence, broken):
+        return ()
     state.unjudged_at = now
     state.unasked.update(parts)
     return ()
@@ -378,6 +382,41 @@
     yield from _drop_disproved(board, now)
     if state.blocked and is_judge(board):
         yield from _tell_all(board, now)
+    if state.evidence.breaks:
+        yield from _tell_new_judges(board, now)
+
+
+def _tell_new_judges(
+    board: boards.Board, now: float
+) -> Iterable[actions.Action]:
+    """Tells judges that have started or become judges what broke before.
+
+    Otherwise blame would begin anew with them while replicas crash.
+    """
+    state = board.state(State)
+    chosen = set(judges(board))
+    if board.identity.host not in chosen:
+        return
+    current = frozenset(
+        (each.host, each.epoch)
+        for each in membership.live_members(board)
+        if each.host in chosen
+    )
+    latest = list(state.evidence.breaks)[-MAX_RETOLD:]
+    for host, _ in sorted(current - state.told):
+        if host == board.identity.host:
+            continue
+        for each in latest:
+            broke = messages.RunBroke(
+                **board.sender_fields,
+                request=each.request,
+                replica=each.replica,
+                born=each.born,
+                parts=list(each.parts),
+                age_s=now - each.at,
+            )
+            yield actions.Send(host, broke)
+    state.told = current
 
 
 def _judge(board: boards.Board, now: float) -> Iterable[actions.Action]:
--- a/packages/hemlockreel/hemlockreel/forwarding/crash_evidence.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/crash_evidence.py
@@ -65,6 +65,18 @@
         self.worked: dict[Part, float] = {}
 
 
+def add_break(evidence: Evidence, broken: Break) -> bool:
+    """Adds a broken answer; returns whether it wasn't known yet."""
+    for each in evidence.breaks:
+        if (each.request, each.replica_run) == (
+            broken.request,
+            broken.replica_run,
+        ):
+            return False
+    evidence.breaks.append(broken)
+    return True
+
+
 def is_sound(evidence: Evidence, part: Part, now: float) -> bool:
     """Returns whether an answer on ``part`` has come to its end lately."""
     at = evidence.worked.get(part)
--- a/packages/hemlockreel/hemlockreel/messages/parts.py
+++ b/packages/hemlockreel/hemlockreel/messages/parts.py
@@ -34,13 +34,15 @@
     """A replica broke an answer off soon after it had begun to write it.
 
     ``replica`` and ``born`` identify the run of the replica process.
-    ``parts`` are the shared parts of the prompt, in order.
+    ``parts`` are the shared parts of the prompt and the request, in order.
+    That was ``age_s`` seconds ago.
     """
 
     request: str
     replica: str
     born: int
     parts: list[PromptPart]
+    age_s: float = 0.0
 
 
 class PartsWorked(shared.Message):
--- a/packages/hemlockreel/tests/forwarding/test_blocked_parts.py
+++ b/packages/hemlockreel/tests/forwarding/test_blocked_parts.py
@@ -195,6 +195,18 @@
     assert fleet.blocking(FIRST, BAD) == set(fleet.hosts)
 
 
+# BUDGET, seed 711 of the soak: all hosts restarted in turn between crashes.
+def test_all_hosts_block_a_part_while_hosts_restart_in_turn():
+    fleet = parts_rig.Fleet(4)
+    for turn in range(5):
+        fleet.crash((FIRST, BAD), at=turn)
+        for host in list(fleet.hosts):
+            fleet.fabric.kill(host)
+            fleet.fabric.run(0.5)
+            fleet.start([host], run=2 + turn)
+    assert fleet.blocking(FIRST, BAD) == set(fleet.hosts)
+
+
 def test_the_first_crash_after_a_block_renews_it_for_longer(fleet):
     for number in range(3):
         fleet.crash((BAD,), at=number)
