--- a/packages/hemlockreel/tests/forwarding/test_blame_in_any_order.py
+++ b/packages/hemlockreel/tests/forwarding/test_blame_in_any_order.py
@@ -15,6 +15,7 @@
 from hemlockreel_standins import forwarding_rig as rigs
 from hemlockreel_standins import parts_rig
 
+from hemlockreel.forwarding import block_records
 from hemlockreel.forwarding import blocked_parts
 from hemlockreel.forwarding import crash_evidence
 from hemlockreel.forwarding import instances
@@ -266,7 +267,8 @@
         """Returns the blocked parts in the store."""
         return {
             each["part"]
-            for found in self.fleet.objects.values()
+            for path, found in self.fleet.objects.items()
+            if block_records.KIND in path
             for each in found["value"]["parts"]
         }
 
