--- a/standins/hemlockreel_standins/feed_rig.py
+++ b/standins/hemlockreel_standins/feed_rig.py
@@ -25,6 +25,7 @@
 # was lost, and until the entries of replicas that left are removed.
 REWRITE_S = 1.5
 REMOVAL_S = 4.0
+LEASE_PATH = "/leases/"  # all other objects are away
 ZONES = ("a", "b", "c")
 
 
@@ -183,7 +184,9 @@
         """Responds to a call of the core; the lease is the only object."""
         if not isinstance(action, actions.CallStore) or at in self.unreachable:
             return None
-        status, body = self._lease_response(action)
+        status, body = 503, {}
+        if LEASE_PATH in action.path:
+            status, body = self._lease_response(action)
         return events.StoreResponded(
             action.call_id, status, body, era=self.era
         )
