--- a/standins/hemlockreel_standins/crash_rig.py
+++ b/standins/hemlockreel_standins/crash_rig.py
@@ -35,7 +35,7 @@
 )
 
 
-class _Loop(forwarding_rig.Loop):
+class FabricLoop(forwarding_rig.Loop):
     """Steps one board of the simulated network, at its time."""
 
     def __init__(self, fabric: Any, host: str, box: mailbox.Mailbox):
@@ -116,7 +116,7 @@
     ) -> forwarding_rig.Exchange:
         """Sends a request to ``host`` and returns the response."""
         box = mailbox.Mailbox()
-        loop = _Loop(self.fleet.fabric, host, box)
+        loop = FabricLoop(self.fleet.fabric, host, box)
         found = self._make_request(path, caller)
         job = request_handler.Job(found, route, SERVICE, 1, clock.now())
         exchange = forwarding_rig.Exchange()
