Reach replicas through another host when this one can't

Cause: reachability was kept as a property of the replica, while it is one of the host and the replica. A host whose connects all failed had no other way, and stayed in the addresses; callers keep these for up to 15 s, so leaving them is no mend by itself. Ruled out: replicas that refuse connections for load, as no host that was not cut off logged a failed connect.

A connection that doesn't stand after 60 ms, or fails, is opened through another host beside it, and the first that stands is used; nothing has been sent on the other. All decisions stay at the host that got the request. A host that reaches a service only so says so in its member update, comes last in the addresses and doesn't control the region.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/bounded_sockets.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/bounded_sockets.py
@@ -30,7 +30,12 @@
 
 
 class BoundedSocket(socket.socket):
-    """A connected socket whose reads have a common deadline and size."""
+    """A connected socket whose reads have a common deadline and size.
+
+    ``via`` is the host that carries its bytes, empty for none.
+    """
+
+    via = ""
 
     def __init__(self, connected: socket.socket):
         timeout_s = connected.gettimeout()
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/daemon.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/daemon.py
@@ -46,12 +46,13 @@
     """Clients for the calls that the core makes to external systems.
 
     Each function blocks until the response or a timeout and returns the event
-    for the core.
+    for the core. ``try_connect`` posts its event itself.
     """
 
     call_store: Callable[[actions.CallStore], events.StoreResponded]
     call_engine: Callable[[actions.CallEngine], events.EngineResponded]
     read_host_list: Callable[[actions.ReadHostList], events.HostListRead]
+    try_connect: Callable[[actions.TryConnect], None] = lambda action: None
 
 
 def http_clients(config: settings.Settings) -> ExternalClients:
@@ -86,6 +87,7 @@
             zone=config.zone,
             region=config.region,
             epoch=epoch,
+            paths=config.listen.paths,
         )
         # The epoch alone is no sufficient seed: daemons that start together
         # share it, and the same jitter would synchronise their actions.
@@ -197,6 +199,10 @@
             self._engine_pool, self._clients.call_engine, action, failed
         )
 
+    def try_connect(self, action: actions.TryConnect) -> None:
+        """Connects to a replica on a pool thread."""
+        self._engine_pool.submit(self._clients.try_connect, action)
+
     def read_host_list(self, action: actions.ReadHostList) -> None:
         """Reads the host list on a pool thread."""
         failed = events.HostListRead(None)
@@ -270,6 +276,11 @@
     daemon.call_engine(action)
 
 
+@perform.register
+def _try_connect(action: actions.TryConnect, daemon: Daemon) -> None:
+    daemon.try_connect(action)
+
+
 @perform.register
 def _count(action: actions.Count, daemon: Daemon) -> None:
     daemon.metrics.count(action.name, action.amount, action.labels)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
@@ -17,6 +17,7 @@
 from hemlockreel.forwarding import deployments
 from hemlockreel.forwarding import graceful_shutdown
 from hemlockreel.forwarding import instances
+from hemlockreel.forwarding import reachability
 from hemlockreel.forwarding import replica_limits
 from hemlockreel.forwarding import replica_pauses
 from hemlockreel.forwarding import replica_selection
@@ -27,9 +28,11 @@
 from .. import daemon as daemons
 from .. import logs
 from .. import settings
+from . import connector
 from . import exchanges
 from . import generation
 from . import interfaces
+from . import path_server
 from . import plain_requests
 from . import request_handler
 from . import startup_wait
@@ -89,7 +92,18 @@
         board.state(graceful_shutdown.State).grace_s = limits.grace_s
         board.state(retry_budget.State).retry_limits = limits.retries
         board.state(store_era.State).is_first_start = limits.is_first_start
+        loop = self.daemon.loop
+        self.connector = connector.Connector(loop.post, loop.query)
         backends.set_observer(self._observe_replica)
+        backends.set_connector(self.connector.connect)
+        self._path_server = path_server.PathServer(
+            found.listen.paths,
+            loop.query,
+            loop.post,
+            lambda result: self.daemon.metrics.count(
+                "carried_paths", 1, (result,)
+            ),
+        )
         self._tools = request_handler.Tools(self.daemon, backends, callers)
         self._active = 0
         self._received_at = clock.now()
@@ -122,6 +136,8 @@
         """Starts the loop, the listener and the store readers."""
         self.daemon.start()
         self._server.start()
+        if self.daemon.settings.listen.paths:
+            self._path_server.start()
         for reader in self._readers.values():
             reader.start()
 
@@ -141,7 +157,7 @@
             self.daemon.loop.post(instances.LeavingStated(id, born))
         if notice.pause_s:
             self.daemon.loop.post(
-                replica_pauses.PauseAsked(id, born, notice.pause_s)
+                replica_pauses.PauseAsked(id, born, notice.pause_s, notice.via)
             )
         ended = notice.is_answer and id in self._limited
         if notice.limit is not None or ended:
@@ -160,6 +176,9 @@
             reader.set_plan(store_fanout.read_plan(board, kind, now))
         self.phase = graceful_shutdown.phase(board, now)
         self._limited = replica_limits.limited(board)
+        reach = board.state(reachability.State)
+        self.connector.helped = reach.helped
+        self.connector.watched = reach.watched
         self.deployment = active_deployment.current(board)
         self.listed = board.state(instances.State).has_list
         ready = status.is_ready(board)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/interfaces.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/interfaces.py
@@ -13,9 +13,13 @@
 from hemlockreel.forwarding import instances
 from hemlockreel.forwarding import store_fanout
 
+from .. import bounded_sockets
 from .. import http_calls
 from .. import mailbox
 
+# Connects to a replica within a number of seconds, or raises an OSError.
+Connect = Callable[[instances.Instance, float], bounded_sockets.BoundedSocket]
+
 
 class Head(NamedTuple):
     """The head of a caller's request as received.
@@ -127,7 +131,8 @@
     ``leaving`` is set if it ends soon, ``pause_s`` is as in
     :class:`SendFailure`. ``limit`` is how many requests a second it takes from
     all hosts together, ``None`` if it names no limit. ``is_answer`` is set
-    for a response to a caller's request.
+    for a response to a caller's request. ``via`` is the host that carried the
+    response, empty for none.
     """
 
     id: str
@@ -136,6 +141,7 @@
     pause_s: float
     limit: float | None = None
     is_answer: bool = False
+    via: str = ""
 
 
 class ResponseHead(NamedTuple):
@@ -172,6 +178,10 @@
         """Sets the function that gets the notices of all responses."""
         ...
 
+    def set_connector(self, connect: Connect) -> None:
+        """Sets the function that connects to replicas."""
+        ...
+
     def close_idle(self) -> None:
         """Closes connections that are no longer worth keeping."""
         ...
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/http_calls.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/http_calls.py
@@ -9,6 +9,7 @@
 :mod:`bounded_sockets`.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
@@ -34,6 +35,17 @@
 CALL_ERRORS = (exceptions.HTTPError, client.HTTPException, OSError)
 
 
+# Returns a connection within a number of seconds, or raises an OSError.
+OpenSocket = Callable[[float], bounded_sockets.BoundedSocket]
+
+
+class Connecting(NamedTuple):
+    """How to connect: within ``timeout_s``, and by ``open_socket`` if set."""
+
+    timeout_s: float = CONNECT_TIMEOUT_S
+    open_socket: OpenSocket | None = None
+
+
 class _Limits:
     """The limits of all responses of this process."""
 
@@ -51,9 +63,13 @@
 
 
 class _Connection(connection.HTTPConnection):
-    """A connection over a bounded socket."""
+    """A connection over a bounded socket, opened by ``open_socket``."""
+
+    open_socket: OpenSocket | None = None
 
     def _new_conn(self) -> socket.socket:
+        if self.open_socket is not None:
+            return self.open_socket(self.timeout)
         return bounded_sockets.BoundedSocket(super()._new_conn())
 
 
@@ -104,19 +120,18 @@
     headers: dict[str, str] | None = None,
     timeout_s: float = 10.0,
     box: mailbox.Mailbox | None = None,
-    connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    connecting: Connecting | None = None,
 ) -> OpenResponse | CallFailed:
     """Sends a request and waits for the head of the response.
 
     The call fails at once when ``box`` is stopped. ``timeout_s`` limits the
-    time of the whole response, ``connect_timeout_s`` that of connecting. The
-    limits of the returned socket are those of a body; a caller that reads a
-    stream replaces them.
+    time of the whole response. The limits of the returned socket are those of
+    a body; a caller that reads a stream replaces them.
     """
+    how = connecting or Connecting()
     host, _, port = address.rpartition(":")
-    conn = _Connection(
-        host, int(port), timeout=min(timeout_s, connect_timeout_s)
-    )
+    conn = _Connection(host, int(port), timeout=min(timeout_s, how.timeout_s))
+    conn.open_socket = how.open_socket
     try:
         conn.connect()
     except CALL_ERRORS as error:
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/kept_connections.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/kept_connections.py
@@ -41,7 +41,8 @@
 KEPT_WAIT_SHARE = 0.5
 MAX_KEPT = 2  # for each key; more would only serve simultaneous bursts
 
-Response = tuple[int, dict[str, Any], Any]
+# Status, body, headers, and the host that carried it, empty for none.
+Response = tuple[int, dict[str, Any], Any, str]
 
 
 class _Kept(NamedTuple):
@@ -72,8 +73,12 @@
         body: Any,
         headers: dict[str, str],
         timeout_s: float,
+        open_socket: http_calls.OpenSocket | None = None,
     ) -> Response | http_calls.CallFailed:
-        """Makes a call like :func:`http_calls.call_json`."""
+        """Makes a call like :func:`http_calls.call_json`.
+
+        New connections are opened as by :func:`http_calls.open_call`.
+        """
         data = None if body is None else json.dumps(body).encode()
         sent = {"Content-Type": "application/json", **headers}
         ends_at = clock.now() + timeout_s
@@ -93,7 +98,15 @@
                 return found
         return self._finish(
             key,
-            http_calls.open_call(address, method, path, data, sent, timeout_s),
+            http_calls.open_call(
+                address,
+                method,
+                path,
+                data,
+                sent,
+                timeout_s,
+                connecting=http_calls.Connecting(open_socket=open_socket),
+            ),
         )
 
     def close_idle(self) -> None:
@@ -158,7 +171,8 @@
                 marks |= {mark}
             if not (may_keep and self._keep(key, opened, marks)):
                 opened.close()
-        return opened.response.status, value, opened.response.headers
+        response = opened.response
+        return response.status, value, response.headers, opened.sock.via
 
     def _keep(
         self,
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/settings.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/settings.py
@@ -21,11 +21,15 @@
 
 
 class Listen(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The addresses that the daemon listens on, each ``IP:PORT``."""
+    """The addresses that the daemon listens on, each ``IP:PORT``.
+
+    Without ``paths`` it opens no connections to replicas for other hosts.
+    """
 
     callers: str
     operators: str
     peers: str
+    paths: str = ""
 
 
 class Responses(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -88,6 +92,8 @@
 def _check_addresses(path: str, loaded: Settings) -> None:
     listen: dict[str, Any] = msgspec.structs.asdict(loaded.listen)
     named = {f"$.listen.{name}": value for name, value in listen.items()}
+    if not loaded.listen.paths:
+        del named["$.listen.paths"]
     named["$.store"] = loaded.store
     named["$.host_list"] = loaded.host_list
     for index, seed in enumerate(loaded.seeds):
--- a/packages/hemlockreel/hemlockreel/actions.py
+++ b/packages/hemlockreel/hemlockreel/actions.py
@@ -59,6 +59,15 @@
     timeout_s: float = 1.0
 
 
+class TryConnect(NamedTuple):
+    """Connects to a replica and closes the connection again.
+
+    The result is an event of :mod:`hemlockreel.forwarding.reachability`.
+    """
+
+    instance: Any
+
+
 class CallEngine(NamedTuple):
     """Calls a model engine; results in ``events.EngineResponded``.
 
--- a/packages/hemlockreel/hemlockreel/addresses.py
+++ b/packages/hemlockreel/hemlockreel/addresses.py
@@ -36,8 +36,9 @@
 
     A caller picks any of them, so worse members are left out entirely. Members
     that are suspected, unreachable or without a configuration are used only if
-    there are no others. Members of other availability zones are used only if
-    the caller's own has fewer than MIN_ZONE_ADDRESSES.
+    there are no others, and so are, among the good ones, those that reach no
+    replica of a service by themselves. Members of other availability zones are
+    used only if the caller's own has fewer than MIN_ZONE_ADDRESSES.
     """
     members = [
         member
@@ -51,7 +52,8 @@
         and member.state != precedence.SUSPECT
         and member.host not in membership.table(board).unreachable
     ]
-    chosen = healthy or members
+    direct = [member for member in healthy if not member.unreached]
+    chosen = direct or healthy or members
     in_zone = [member for member in chosen if member.zone == zone]
     if len(in_zone) >= MIN_ZONE_ADDRESSES:
         chosen = in_zone
--- a/packages/hemlockreel/hemlockreel/board.py
+++ b/packages/hemlockreel/hemlockreel/board.py
@@ -15,7 +15,8 @@
     ``host`` is its peer address, ``callers`` the address for callers, both
     ``IP:PORT``. ``zone`` is its availability zone. ``epoch`` differs between
     the runs of the daemon on one host, but daemons on different hosts may have
-    the same one.
+    the same one. ``paths`` is the address at which it opens connections to
+    replicas for other hosts, empty if it doesn't.
     """
 
     host: str
@@ -23,6 +24,7 @@
     zone: str
     region: str
     epoch: int
+    paths: str = ""
 
 
 class Board:
--- a/packages/hemlockreel/hemlockreel/core.py
+++ b/packages/hemlockreel/hemlockreel/core.py
@@ -37,6 +37,7 @@
 from .forwarding import blocked_parts
 from .forwarding import graceful_shutdown
 from .forwarding import instance_updates
+from .forwarding import reachability
 from .forwarding import replica_limits
 from .forwarding import replica_pauses
 from .forwarding import replica_selection
@@ -80,6 +81,7 @@
     active_deployment,
     instance_updates,
     store_fanout,
+    reachability,
     replica_pauses,
     replica_limits,
     blocked_parts,
--- a/packages/hemlockreel/hemlockreel/forwarding/ranking.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/ranking.py
@@ -9,6 +9,7 @@
 from .. import board as boards
 from . import instances
 from . import prefill_times
+from . import reachability
 from . import replica_health
 from . import replica_limits
 from . import replica_pauses
@@ -17,6 +18,8 @@
 # it is used only if those in this host's zone are busier by this share of
 # their slots.
 ZONE_PENALTY = 0.25
+# Of the slots, for a replica that only another host reaches.
+HELPED_PENALTY = 0.5
 FAILURE_WEIGHT = 4.0  # of the failure rate, relative to the share of slots
 # Of the requests, for which replicas that name a limit come before others.
 # The rest is for the others, as most requests would find no permit.
@@ -148,7 +151,10 @@
         return _prefill_s(board, each, event, now)
     state = board.state(State)
     share = state.running.get(each.id, 0) / max(each.slots, 1)
-    plain = event.stage is instances.Stage.PLAIN
-    if plain and each.zone != board.identity.zone:
+    if event.stage is not instances.Stage.PLAIN:
+        return share
+    if each.zone != board.identity.zone:
         share += ZONE_PENALTY
+    if each.id in board.state(reachability.State).helped:
+        share += HELPED_PENALTY
     return share
--- a/packages/hemlockreel/hemlockreel/forwarding/replica_pauses.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/replica_pauses.py
@@ -13,6 +13,7 @@
 from .. import actions
 from .. import board as boards
 from .. import events
+from .. import messages
 from . import instances
 
 # A longer time is more likely an error than a wish.
@@ -23,11 +24,16 @@
 
 
 class PauseAsked(NamedTuple):
-    """The replica ``id``, in its run ``born``, asked for a pause."""
+    """The replica ``id``, in its run ``born``, asked for a pause.
+
+    ``via`` is the host that carried its response, empty if there was none. To
+    the replica, that host is the one that called.
+    """
 
     id: str
     born: int
     seconds: float
+    via: str = ""
 
 
 class Pause(NamedTuple):
@@ -95,6 +101,14 @@
     yield actions.Count("replica_pauses")
     fields = {"replica": event.id, "for_s": round(seconds, 3)}
     yield actions.Log("replica_paused", fields)
+    if event.via:
+        told = messages.PauseTold(
+            **board.sender_fields,
+            replica=event.id,
+            born=event.born,
+            for_s=seconds,
+        )
+        yield actions.Send(event.via, told)
 
 
 @handle.register
--- a/packages/hemlockreel/hemlockreel/leader.py
+++ b/packages/hemlockreel/hemlockreel/leader.py
@@ -85,9 +85,18 @@
 
 
 def preferred_controller(board: boards.Board) -> str:
-    """Returns the host that should control the region, empty if none."""
-    members = membership.reachable_members(board)
-    usable = [member.host for member in members if not member.draining]
+    """Returns the host that should control the region, empty if none.
+
+    One that reaches no replica of a service can't order engines, so it is
+    taken only if no other one is left.
+    """
+    members = [
+        member
+        for member in membership.reachable_members(board)
+        if not member.draining
+    ]
+    direct = [member for member in members if not member.unreached]
+    usable = [member.host for member in direct or members]
     region = board.identity.region
     ranked = rendezvous.rank(f"controller/{region}", usable)
     return ranked[0] if ranked else ""
--- a/packages/hemlockreel/hemlockreel/membership.py
+++ b/packages/hemlockreel/hemlockreel/membership.py
@@ -40,8 +40,9 @@
     seems to be cut off: see :mod:`probes`. ``outbox`` counts how often the
     update about a member is still to be sent. ``version`` increases with each
     change that may move the ownership of a shard. ``entries`` are the daemons
-    in the platform's host list. ``announced`` is the drain flag and the
-    configuration generation that this daemon last announced.
+    in the platform's host list. ``unreached`` lists the services of which
+    this daemon reaches no replica by itself. ``announced`` is the drain flag,
+    the configuration generation and ``unreached`` as last announced.
     """
 
     def __init__(self):
@@ -55,7 +56,8 @@
         self.state_changed_at: dict[str, float] = {}
         self.outbox: dict[str, int] = {}
         self.entries: tuple[str, ...] = ()
-        self.announced: tuple[bool, int] = (False, 0)
+        self.unreached: tuple[str, ...] = ()
+        self.announced: tuple[bool, int, tuple[str, ...]] = (False, 0, ())
         self.next_join = 0.0
         self.next_sync = 0.0
         self.sync_period = INITIAL_SYNC_PERIOD_S
@@ -116,6 +118,8 @@
         state=precedence.LEFT if state.leaving else precedence.ALIVE,
         draining=state.draining,
         configuration=state.configuration,
+        paths=identity.paths,
+        unreached=state.unreached,
     )
 
 
@@ -367,7 +371,7 @@
 def _announce_own_changes(board: boards.Board) -> None:
     """Queues the own update, with a higher incarnation, if it has changed."""
     state = table(board)
-    current = (state.draining, state.configuration)
+    current = (state.draining, state.configuration, state.unreached)
     if current != state.announced:
         state.announced = current
         state.version += 1
--- a/packages/hemlockreel/hemlockreel/messages/__init__.py
+++ b/packages/hemlockreel/hemlockreel/messages/__init__.py
@@ -21,6 +21,7 @@
 from .parts import PartsWorked
 from .parts import PromptPart
 from .parts import RunBroke
+from .paths import PauseTold
 from .region import ListRead
 from .region import ReplicaChanging
 from .region import ReplicaLeaving
@@ -83,6 +84,7 @@
     "NotOwner",
     "PartsJudged",
     "PartsWorked",
+    "PauseTold",
     "PermitAsked",
     "PermitGiven",
     "Ping",
--- a/packages/hemlockreel/hemlockreel/messages/members.py
+++ b/packages/hemlockreel/hemlockreel/messages/members.py
@@ -13,6 +13,8 @@
     member is alive but is not returned to callers any more. ``configuration``
     is the generation that it has in force, 0 if none. The order of updates by
     ``epoch`` and ``incarnation`` is defined in :mod:`hemlockreel.precedence`.
+    ``paths`` is its address for :mod:`hemlockreel.forwarding.reachability`,
+    ``unreached`` lists the services of which it reaches no replica by itself.
     """
 
     host: str
@@ -24,6 +26,8 @@
     state: str
     draining: bool = False
     configuration: int = 0
+    paths: str = ""
+    unreached: tuple[str, ...] = ()
 
 
 class Ping(shared.Message):
--- a/packages/hemlockreel/hemlockreel/messages/wire.py
+++ b/packages/hemlockreel/hemlockreel/messages/wire.py
@@ -5,6 +5,7 @@
 from . import limits
 from . import members
 from . import parts
+from . import paths
 from . import region
 from . import replication
 from . import requests
@@ -48,6 +49,7 @@
     | parts.RunBroke
     | parts.PartsWorked
     | parts.PartsJudged
+    | paths.PauseTold
     | streams.StreamsBegun
     | streams.StreamAsked
     | streams.StreamKnown
--- a/standins/hemlockreel_standins/fabric.py
+++ b/standins/hemlockreel_standins/fabric.py
@@ -59,7 +59,9 @@
     ) -> boards.Board:
         """Starts a daemon, replacing any earlier one at the same address."""
         self.kill(host)
-        identity = boards.Identity(host, f"c{host}", zone, region, epoch)
+        identity = boards.Identity(
+            host, f"c{host}", zone, region, epoch, f"p{host}"
+        )
         rng = random.Random(self.rng.random())
         self.boards[host] = boards.Board(identity, seeds, rng)
         self.done.setdefault(host, [])
--- a/standins/hemlockreel_standins/forwarding_rig.py
+++ b/standins/hemlockreel_standins/forwarding_rig.py
@@ -212,6 +212,9 @@
     def set_observer(self, observe):
         """Ignores the observer, as tests post the events themselves."""
 
+    def set_connector(self, connect):
+        """Ignores the connector, as there are no connections."""
+
     def close_idle(self):
         """Does nothing, since there are no connections."""
 
--- a/standins/hemlockreel_standins/platform_site.py
+++ b/standins/hemlockreel_standins/platform_site.py
@@ -79,7 +79,7 @@
             name: f"127.0.0.1:{port}"
             for name, port in zip(names, ports, strict=True)
         }
-        operators = processes.free_port()
+        operators, paths = processes.free_port(), processes.free_port()
         self.operators = f"127.0.0.1:{operators}"
         self.settings = folder / f"settings-{number}.conf"
         self.log = folder / f"daemon-{number}.log"
@@ -92,6 +92,7 @@
             "bounds.grace_s=4",
             "bounds.retry_budget_slack=100",
             f"operators_port={operators}",
+            f"paths_port={paths}",
             *(f"listen.{name}={each}" for name, each in self.listen.items()),
         ]
         self.settings.write_text("\n".join(lines) + "\n")
