Cut single hosts off the replicas in tests with real daemons

Links make connects hang or refuse them, with open connections silent, reset or living on. Handles of the stand-ins' prefill results no longer depend on the address of the engine, as hosts see different ones.

--- a/standins/hemlockreel_standins/platform_replica.py
+++ b/standins/hemlockreel_standins/platform_replica.py
@@ -159,7 +159,8 @@
     def _prefill(self) -> bytes:
         if self.mode == "not_run":
             return encode_json(503, {}, (("Hemlockreel-Not-Executed", "1"),))
-        name = f"handle-{next(self._name_numbers)}"
+        port = self.address.rpartition(":")[2]
+        name = f"handle-{port}-{next(self._name_numbers)}"
         self._handles.add(name)
         return encode_json(
             200, {"kv_handle": name, "tokens": 1460, "version": 1}
--- a/standins/hemlockreel_standins/soak/backends.py
+++ b/standins/hemlockreel_standins/soak/backends.py
@@ -43,7 +43,11 @@
 
 
 class PrefillResults:
-    """The prefill results of all engines, by the source to fetch them from."""
+    """The prefill results of all engines, by their handles.
+
+    Hosts may reach an engine at different addresses, so that the address in
+    the source of a result doesn't identify it.
+    """
 
     def __init__(self, log: records.Log):
         self.log = log
@@ -53,7 +57,7 @@
     def fetch(self, source: str) -> bool:
         """Removes a result; returns false if it is gone or has expired."""
         with self.lock:
-            found = self.handles.pop(source, None)
+            found = self.handles.pop(source.rpartition("/")[2], None)
         return found is not None and found[1] + HANDLE_TTL_S > time.monotonic()
 
     def sweep(self) -> None:
@@ -61,12 +65,12 @@
         now = time.monotonic()
         with self.lock:
             expired = [
-                (source, *found)
-                for source, found in self.handles.items()
+                (handle, *found)
+                for handle, found in self.handles.items()
                 if found[1] + HANDLE_TTL_S <= now
             ]
-            for source, *_ in expired:
-                del self.handles[source]
+            for handle, *_ in expired:
+                del self.handles[handle]
         for _, replica, at in expired:
             self.log.add(records.Lapse(replica, "handle", at, now))
 
@@ -138,18 +142,16 @@
                 self._reserved_at.pop(name, None)
         name = arrival.target.rpartition("/")[2]
         with self._prefill_results.lock:
-            self._prefill_results.handles.pop(
-                f"{self.public_address}/{name}", None
-            )
+            self._prefill_results.handles.pop(name, None)
         return response
 
     def _prefill(self) -> bytes:
         response = super()._prefill()
         head, _, body = response.partition(b"\r\n\r\n")
         if head.startswith(b"HTTP/1.1 200"):
-            source = f"{self.public_address}/{json.loads(body)['kv_handle']}"
+            handle = json.loads(body)["kv_handle"]
             with self._prefill_results.lock:
-                self._prefill_results.handles[source] = (
+                self._prefill_results.handles[handle] = (
                     self.id,
                     time.monotonic(),
                 )
--- a/standins/hemlockreel_standins/soak/link.py
+++ b/standins/hemlockreel_standins/soak/link.py
@@ -9,6 +9,7 @@
 import socket
 import struct
 import threading
+import time
 
 BLOCK_BYTES = 64 * 1024
 POLL_S = 0.05
@@ -26,10 +27,19 @@
     SILENT = "silent"
     NO_REQUESTS = "no_requests"  # blocks this direction only: responses pass
     NO_ANSWERS = "no_answers"
+    CUT = "cut"  # connects hang and open connections are silent
+    REFUSED = "refused"  # connects are refused, open connections reset
+    NEW_REFUSED = "new_refused"  # connects are refused, open ones live on
 
 
-BLOCKS_REQUESTS = (Mode.SILENT, Mode.NO_REQUESTS)
-BLOCKS_ANSWERS = (Mode.SILENT, Mode.NO_ANSWERS)
+BLOCKS_REQUESTS = (Mode.SILENT, Mode.NO_REQUESTS, Mode.CUT)
+BLOCKS_ANSWERS = (Mode.SILENT, Mode.NO_ANSWERS, Mode.CUT)
+REFUSES = (Mode.REFUSED, Mode.NEW_REFUSED)
+RESETS = (Mode.RESET, Mode.REFUSED)
+BACKLOG = 128
+# Connections that fill the queue of a listener with a backlog of 0, so that
+# the system drops the first packet of any further one.
+FILLERS = 4
 
 
 class Link:
@@ -39,40 +49,93 @@
         self.target = target
         self.mode = Mode.WHOLE
         self.delay_s = 0.0
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._port = 0
+        self._listener: socket.socket | None = None
+        self._fillers: list[socket.socket] = []
         self._open: set[socket.socket] = set()
         self._lock = threading.Lock()
+        self._changing = threading.Lock()
         self._closing = threading.Event()
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._listen()
+        self.address = f"127.0.0.1:{self._port}"
 
     def set(self, mode: Mode, delay_s: float = 0.0) -> None:
-        """Changes the mode; ``RESET`` also resets open connections."""
-        self.delay_s = delay_s if mode is Mode.DELAYED else 0.0
-        self.mode = mode
-        if mode is Mode.RESET:
-            with self._lock:
-                found = list(self._open)
-            for sock in found:
-                _reset(sock)
+        """Changes the mode; some modes also reset open connections."""
+        with self._changing:
+            if self._closing.is_set():
+                return
+            self.delay_s = delay_s if mode is Mode.DELAYED else 0.0
+            before, self.mode = self.mode, mode
+            if mode in RESETS:
+                self._reset_open()
+            if mode in REFUSES:
+                self._stop_listening()
+            elif before in REFUSES:
+                self._listen()
+            if mode is Mode.CUT:
+                self._fill_queue()
+            elif before is Mode.CUT and self._listener is not None:
+                self._listener.listen(BACKLOG)
+                self._drop_fillers()
 
     def close(self) -> None:
         """Stops listening and resets open connections."""
-        self._closing.set()
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
+        with self._changing:
+            self._closing.set()
+            self._stop_listening()
+            self._drop_fillers()
+        self._reset_open()
+
+    def _listen(self) -> None:
+        self._listener = socket.create_server(
+            ("127.0.0.1", self._port), backlog=BACKLOG
+        )
+        self._listener.settimeout(POLL_S)
+        self._port = self._listener.getsockname()[1]
+        threading.Thread(
+            target=self._accept, args=(self._listener,), daemon=True
+        ).start()
+
+    def _stop_listening(self) -> None:
+        found, self._listener = self._listener, None
+        if found is not None:
+            with contextlib.suppress(OSError):
+                found.shutdown(socket.SHUT_RDWR)
+            found.close()
+
+    def _fill_queue(self) -> None:
+        """Makes connects hang, as nothing is accepted meanwhile."""
+        self._listener.listen(0)
+        time.sleep(2 * POLL_S)  # the thread that accepts has seen the mode
+        for _ in range(FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", self._port))
+            self._fillers.append(filler)
+
+    def _drop_fillers(self) -> None:
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+
+    def _reset_open(self) -> None:
         with self._lock:
             found = list(self._open)
         for sock in found:
             _reset(sock)
 
-    def _accept(self) -> None:
+    def _accept(self, listener: socket.socket) -> None:
         while not self._closing.is_set():
+            if self.mode is Mode.CUT:
+                self._closing.wait(POLL_S)
+                continue
             try:
-                client_sock, _ = self._listener.accept()
+                client_sock, _ = listener.accept()
+            except TimeoutError:
+                continue
             except OSError:
                 return
+            client_sock.settimeout(None)
             threading.Thread(
                 target=self._proxy_connection, args=(client_sock,), daemon=True
             ).start()
--- a/standins/tests/soak/test_link.py
+++ b/standins/tests/soak/test_link.py
@@ -88,3 +88,43 @@
         sock.sendall(b"x")
         assert sock.recv(1) == b""
         raise ConnectionResetError
+
+
+def test_cut_link_makes_connects_hang_and_heals(proxy):
+    held = connect(proxy)
+    proxy.set(link.Mode.CUT)
+    with pytest.raises(TimeoutError):
+        connect(proxy, 0.3)
+    held.sendall(b"x")
+    held.settimeout(0.3)
+    with pytest.raises(TimeoutError):
+        held.recv(1)
+    proxy.set(link.Mode.WHOLE)
+    held.settimeout(2.0)
+    assert held.recv(1) == b"x"
+    with connect(proxy) as later:
+        later.sendall(b"y")
+        assert later.recv(1) == b"y"
+
+
+@pytest.mark.parametrize(
+    ("mode", "lives_on"),
+    [(link.Mode.REFUSED, False), (link.Mode.NEW_REFUSED, True)],
+)
+def test_refusing_link_refuses_connects_and_heals(proxy, mode, lives_on):
+    held = connect(proxy)
+    held.sendall(b"x")
+    assert held.recv(1) == b"x"
+    proxy.set(mode)
+    with pytest.raises(ConnectionRefusedError):
+        connect(proxy)
+    if lives_on:
+        held.sendall(b"y")
+        assert held.recv(1) == b"y"
+    else:
+        with contextlib.suppress(ConnectionError):
+            assert held.recv(1) == b""
+    proxy.set(link.Mode.WHOLE)
+    with connect(proxy) as later:
+        later.sendall(b"z")
+        assert later.recv(1) == b"z"
