Leave out odd entries of the store instead of failing on them

Operators of similar systems saw processes end by themselves, or follow the store no more, after another writer had left one odd entry (LOST). It happens here: 200,000 brackets, a number of 5,000 digits or bytes that are no text made the whole list unreadable, the first ended the reader's thread; slots of 10**30 ended the process that passed the list on, as the number fits no message; -5 slots, port 8_6 and addresses with a line break were taken. The new cases of test_store.py fail without this change.

Cause: what one writer wrote was decoded together with all the rest, and into types without bounds. A reader that fails all the same logs it and begins anew.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/store_reader.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/store_reader.py
@@ -8,6 +8,7 @@
 import random
 import threading
 import time
+import traceback
 from typing import Any
 
 from hemlockreel import store_era
@@ -81,7 +82,14 @@
     def _run(self) -> None:
         while True:
             self._may_read.wait()
-            self.step()
+            try:
+                self.step()
+            except Exception:
+                # Without its thread, a host would follow the store no more.
+                logs.write("reader_failed", {"trace": traceback.format_exc()})
+                self._handle_failure(
+                    interfaces.StoreFailure("the reader failed")
+                )
 
     def step(self) -> None:
         """Makes one call and posts the events of its response."""
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/http_calls.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/http_calls.py
@@ -25,6 +25,7 @@
 
 from . import bounded_sockets
 from . import caller_sockets
+from . import json_documents
 from . import mailbox
 
 CONNECT_TIMEOUT_S = 1.0
@@ -214,7 +215,7 @@
         return opened
     try:
         with interrupting(box, opened.sock):
-            value = json.loads(opened.read_body() or b"{}")
+            value = json_documents.loads(opened.read_body() or b"{}")
         return opened.response.status, value, opened.response.headers
     except (*CALL_ERRORS, ValueError) as error:
         return to_failure(error)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/kept_connections.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/kept_connections.py
@@ -30,6 +30,7 @@
 
 from . import clock
 from . import http_calls
+from . import json_documents
 
 # Used if the server states no time. A waiting request asks again after at
 # most 0.12 s.
@@ -159,7 +160,7 @@
             return opened
         may_keep = False
         try:
-            value = json.loads(opened.read_body() or b"{}")
+            value = json_documents.loads(opened.read_body() or b"{}")
             mark = self._mark(value)
             if mark in marks:
                 return http_calls.CallFailed(True, "a second copy arrived")
--- a/packages/hemlockreel/hemlockreel/forwarding/block_records.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/block_records.py
@@ -15,6 +15,7 @@
 from . import blocked_parts
 from . import region_records
 
+MAX_TIMES = 1000  # that a part was blocked again; more is nonsense
 KIND = "blocked-parts"
 
 
@@ -105,7 +106,14 @@
                 int(each["times"]),
                 float(each.get("trial_in_s", math.inf)),
             )
-        except (KeyError, TypeError, ValueError, AttributeError):
+        except (
+            AttributeError,
+            KeyError,
+            OverflowError,
+            TypeError,
+            ValueError,
+        ):
             continue
-        found.append(block)
+        if 0 <= block.for_s < math.inf and 0 <= block.times <= MAX_TIMES:
+            found.append(block)
     return found
--- a/packages/hemlockreel/hemlockreel/messages/wire.py
+++ b/packages/hemlockreel/hemlockreel/messages/wire.py
@@ -67,5 +67,5 @@
     """Returns the message in ``data``, ``None`` if it is not a valid one."""
     try:
         return _decoder.decode(data)
-    except (msgspec.DecodeError, msgspec.ValidationError):
+    except (msgspec.MsgspecError, RecursionError, ValueError):
         return None
--- a/tests/hemlockreel_platform/test_store.py
+++ b/tests/hemlockreel_platform/test_store.py
@@ -1,5 +1,7 @@
 """Tests the client of the store against each form of response."""
 
+import json
+
 import pytest
 
 from hemlockreel import actions
@@ -51,6 +53,14 @@
         {**VALID_ENTRY, "slots": "many"},
         {**VALID_ENTRY, "stage": "third"},
         {**VALID_ENTRY, "service": None},
+        {**VALID_ENTRY, "slots": -5},
+        {**VALID_ENTRY, "slots": 10**30},
+        {**VALID_ENTRY, "born": 1e300},
+        {**VALID_ENTRY, "address": "10.0.0.1:8_6"},
+        {**VALID_ENTRY, "address": "10.0.0.1:65536"},
+        {**VALID_ENTRY, "address": "10.0.0.1\n:80"},
+        {**VALID_ENTRY, "zone": "\ud800"},
+        {**VALID_ENTRY, "version": "x" * 10**5},
     ],
 )
 def test_malformed_entry_does_not_affect_others(stand_in, client, entry):
@@ -59,6 +69,40 @@
     assert instance_ids(client.read(INSTANCES)) == ["i-good"]
 
 
+# LOST of issue 30: one odd entry ended the processes that read the list.
+@pytest.mark.parametrize("depth", [40, 1000, 200_000])
+@pytest.mark.parametrize("watches", [False, True])
+def test_odd_bytes_of_an_entry_do_not_affect_others(depth, watches):
+    good = {"metadata": {"name": "i-good"}, "specification": VALID_ENTRY}
+    odd = [
+        b'{"metadata":{"name":"i-%d"},"specification":%b}' % each
+        for each in enumerate(
+            [
+                b"[" * depth + b"]" * depth,
+                b'{"x":' * depth + b"1" + b"}" * depth,
+                b'{"slots":%b}' % (b"9" * 5000),
+                b'"\xff\xfe"',
+                b'{"state":"\\ud800","slots":1e999}',
+            ]
+        )
+    ]
+    entries = [*odd[:3], json.dumps(good).encode(), *odd[3:]]
+    if watches:
+        entries = [b'{"deleted":false,"object":%b}' % e for e in entries]
+    body = b'{"%b":[%b],"as_of":7}' % (
+        b"events" if watches else b"items",
+        b",".join(entries),
+    )
+    stand_in = server.StandIn()
+    stand_in.respond = lambda request: server.Response(200, body)
+    client = store.Store(server.start(stand_in))
+    found = (
+        client.watch(INSTANCES, 1, 0.1) if watches else client.read(INSTANCES)
+    )
+    assert instance_ids(found) == ["i-good"]
+    assert found.as_of == 7
+
+
 def test_entry_that_becomes_malformed_is_reported_as_removed(stand_in, client):
     stand_in.put("servers", "i-1", VALID_ENTRY)
     since = client.read(INSTANCES).as_of
