Go on with a stream on the word of most recorders only

Operators of similar systems saw streams joined from two software versions after a host had been out of step for some seconds while the newer version joined (ORDER). It happens here: a host that is cut off from all others and is one of the three recorders asks itself, and as its list of replicas was confirmed within 4 s it took the one version in it for certain; six streams of six that had begun at v2 elsewhere went on at v1, in fleets of 3, 13 and 195 hosts. A host that is no recorder refused them, and one that stood still asks the others and learns the right version.

A fresh list says nothing of a version that joined after it. Streams of that version are reported to all recorders, so a fresh list counts only with the answers of most of them. With one of three recorders gone streams go on as before; alone, a host refuses as not run, with a time to come back. The tests set the freshness of lists, which the rig did not; the first of them fails without the change.

--- a/packages/hemlockreel/hemlockreel/forwarding/stream_versions.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/stream_versions.py
@@ -81,15 +81,16 @@
 class Question(NamedTuple):
     """What a worker waits for until ``until``.
 
-    ``waiting`` are the recorders that have not answered. ``recent`` are the
-    versions that they name. ``is_fresh`` is set if one of them knows all of
-    the earlier versions and the present ones, ``is_read`` unless one doesn't
-    know the earlier ones.
+    ``waiting`` are the recorders that have not answered, and ``answered``
+    those that have. ``recent`` are the versions that they name. ``is_fresh``
+    is set if one of them knows all of the earlier versions and the present
+    ones, ``is_read`` unless one doesn't know the earlier ones.
     """
 
     asked: SoftwareRequested
     until: float
     waiting: frozenset[str]
+    answered: frozenset[str] = frozenset()
     recent: frozenset[str] = frozenset()
     is_fresh: bool = False
     is_read: bool = True
@@ -98,10 +99,15 @@
     def is_sure(self) -> bool:
         """Whether ``recent`` is complete.
 
-        While the store is away no list is fresh, but no host gets a newer one
-        either. A host that is cut off from the others can't tell.
+        Streams of a version that has just joined are reported to all
+        recorders, but a host that is out of step may neither hear of them nor
+        have read of the version yet. So a fresh list is enough only with the
+        word of most recorders. While the store is away no list is fresh, but
+        no host gets a newer one either.
         """
-        return self.is_fresh or (self.is_read and not self.waiting)
+        if not self.waiting:
+            return self.is_fresh or self.is_read
+        return self.is_fresh and len(self.answered) > len(self.waiting)
 
 
 class State:
@@ -324,6 +330,7 @@
         return
     question = question._replace(
         waiting=question.waiting - {event.sender},
+        answered=question.answered | {event.sender},
         recent=question.recent | frozenset(event.recent),
         is_fresh=question.is_fresh or event.is_fresh,
         is_read=question.is_read and event.is_read,
--- a/packages/hemlockreel/tests/forwarding/test_stream_versions.py
+++ b/packages/hemlockreel/tests/forwarding/test_stream_versions.py
@@ -232,3 +232,60 @@
     board = site.fleet.fabric.boards[site.hosts[0]]
     state = board.state(stream_versions.State)
     assert not stream_versions.recent(state, "orders", 3.0)
+
+
+def old_site(hosts):
+    """A site at v1 only, for so long that v1 began every stream."""
+    site = stream_rig.Site(hosts)
+    site.fleet.fabric.run(1.0)
+    for board in site.fleet.fabric.boards.values():
+        state = board.state(stream_versions.State)
+        state.started_at = site.fleet.fabric.now - KEEP_S - 1.0
+    site.confirm_lists()
+    return site
+
+
+# ORDER of issue 30: a host that was cut off while v2 joined went on at v1.
+@pytest.mark.parametrize(
+    ("hosts", "rank"),
+    [(3, 0), (3, 2), (13, 0), (13, 2), (13, None), (195, 0)],
+)
+def test_host_that_is_out_of_step_joins_no_versions(hosts, rank):
+    site = old_site(hosts)
+    ranked = stream_versions.recorders(site.fleet.fabric.boards[site.hosts[0]])
+    others = [each for each in site.hosts if each not in ranked]
+    alone = ranked[rank] if rank is not None else (others or ranked)[0]
+    rest = [each for each in site.hosts if each != alone]
+    site.fleet.fabric.cut([alone], rest)
+    site.fleet.fabric.cut(rest, [alone])
+    site.list_versions("v1", "v2", hosts=tuple(rest))
+    ids = [site.begin(rest[turn % len(rest)], "v2") for turn in range(6)]
+    site.fleet.fabric.run(1.5)
+    found = site.ask_all([(alone, id) for id in ids])
+    assert all(found != "v1" for found in found)
+    assert not any(is_final(each) for each in found)
+
+
+def test_host_that_stood_still_joins_no_versions():
+    site = old_site(13)
+    alone = stream_versions.recorders(site.fleet.fabric.boards[site.hosts[0]])[
+        0
+    ]
+    rest = [each for each in site.hosts if each != alone]
+    site.fleet.fabric.frozen.add(alone)
+    site.list_versions("v1", "v2", hosts=tuple(rest))
+    ids = [site.begin(rest[turn % len(rest)], "v2") for turn in range(6)]
+    site.fleet.fabric.run(2.0)
+    site.fleet.fabric.frozen.clear()
+    assert set(site.ask_all([(alone, id) for id in ids])) == {"v2"}
+
+
+# Refusing is no way out: one recorder that is gone must not cost streams.
+@pytest.mark.parametrize("hosts", [4, 13])
+def test_streams_go_on_while_one_recorder_is_silent(hosts):
+    site = old_site(hosts)
+    id = site.begin(site.hosts[0], "v1")
+    ranked = stream_versions.recorders(site.fleet.fabric.boards[site.hosts[0]])
+    site.fleet.fabric.kill(ranked[1])
+    asker = next(e for e in site.hosts[1:] if e not in ranked)
+    assert site.ask(asker, id) == "v1"
--- a/standins/hemlockreel_standins/stream_rig.py
+++ b/standins/hemlockreel_standins/stream_rig.py
@@ -10,6 +10,7 @@
 from hemlockreel import outcomes
 
 from hemlockreel.forwarding import instances
+from hemlockreel.forwarding import store_fanout
 from hemlockreel.forwarding import stream_versions
 
 from . import forwarding_rig
@@ -46,6 +47,15 @@
             event = instances.InstancesListed(listed)
             self.fleet.fabric.post(host, event)
 
+    def confirm_lists(self, *hosts: str) -> None:
+        """Lets the store confirm the lists of hosts, all if none are named."""
+        kind = store_fanout.ObjectKind.INSTANCES
+        for host in hosts or self.hosts:
+            states = self.fleet.fabric.boards[host].state(store_fanout.State)
+            states.read_states[kind] = states.read_states[kind]._replace(
+                read_at=self.fleet.fabric.now
+            )
+
     def begin(self, host: str, software: str) -> str:
         """Begins a stream at ``host``; returns its id."""
         id = f"s{next(self._numbers)}"
