Keep no connection to a replica that wrote more than it was asked for

Kept connections carry reservations only. There a second refusal may stand in place of a grant, which then lapses unused, and a copy that comes late enough to escape the check would shift all later answers by one. A server that was seen to write more than it was asked for gets a connection for each call for a minute; the test fails without this.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/kept_connections.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/kept_connections.py
@@ -11,7 +11,9 @@
 A second copy may still arrive just after that check, in the place of the next
 response. It is recognised by what no two responses share, such as the id of a
 reservation, and the connection is given up. A refusal has no such mark: a
-second copy of one can at most hide a grant, which then expires unused.
+second copy of one can at most hide a grant, which then expires unused. A
+server that once wrote more than it was asked for gets a connection for each
+call for a while.
 
 It serves calls that may be repeated only. One that fails without a response
 on a kept connection is made once more on a new one. A kept connection without
@@ -24,6 +26,7 @@
 import json
 import re
 import select
+import socket
 import threading
 from typing import Any
 from typing import NamedTuple
@@ -40,6 +43,8 @@
 MAX_IDLE_S = 4.0
 # Of a call's timeout: the longest wait for a response on a kept connection.
 KEPT_WAIT_SHARE = 0.5
+# After bytes that belong to no call, for which nothing is kept for a server.
+DISTRUST_S = 60.0
 MAX_KEPT = 2  # for each key; more would only serve simultaneous bursts
 
 # Status, body, headers, and the host that carried it, empty for none.
@@ -64,6 +69,7 @@
         self._mark = mark
         self._lock = threading.Lock()
         self._idle: dict[Any, list[_Kept]] = {}
+        self._distrusted_until: dict[Any, float] = {}
 
     def call_json(
         self,
@@ -120,6 +126,11 @@
                 for each in kept
                 if each.usable_until < now
             ]
+            self._distrusted_until = {
+                key: until
+                for key, until in self._distrusted_until.items()
+                if until >= now
+            }
             self._idle = {
                 key: left
                 for key, kept in self._idle.items()
@@ -147,6 +158,8 @@
                 newest.opened
             ):
                 return newest
+            if _has_bytes(newest.opened):
+                self._distrust(key)
             newest.opened.close()
 
     def _finish(
@@ -163,6 +176,7 @@
             value = json_documents.loads(opened.read_body() or b"{}")
             mark = self._mark(value)
             if mark in marks:
+                self._distrust(key)
                 return http_calls.CallFailed(True, "a second copy arrived")
             may_keep = _is_reusable(opened)
         except (*http_calls.CALL_ERRORS, ValueError) as error:
@@ -175,6 +189,10 @@
         response = opened.response
         return response.status, value, response.headers, opened.sock.via
 
+    def _distrust(self, key: Any) -> None:
+        with self._lock:
+            self._distrusted_until[key] = clock.now() + DISTRUST_S
+
     def _keep(
         self,
         key: Any,
@@ -182,6 +200,8 @@
         marks: frozenset[str],
     ) -> bool:
         with self._lock:
+            if self._distrusted_until.get(key, 0.0) > clock.now():
+                return False
             kept = self._idle.setdefault(key, [])
             if len(kept) >= MAX_KEPT:
                 return False
@@ -211,6 +231,14 @@
     )
 
 
+def _has_bytes(opened: http_calls.OpenResponse) -> bool:
+    """Returns whether bytes have arrived, and not just the end."""
+    with contextlib.suppress(OSError, ValueError):
+        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+        return bool(opened.sock.recv(1, flags))
+    return False
+
+
 def _has_input(opened: http_calls.OpenResponse) -> bool:
     """Returns whether bytes or the end of the connection have arrived."""
     with contextlib.suppress(OSError, ValueError):
--- a/packages/hemlockreel-daemon/tests/test_kept_connections.py
+++ b/packages/hemlockreel-daemon/tests/test_kept_connections.py
@@ -215,3 +215,22 @@
     assert isinstance(call(pool, server), http_calls.CallFailed)
     assert time.monotonic() - started < 2 * TIMEOUT_S
     assert not any(pool._idle.values())
+
+
+# REFUSED and TWICE of issue 30: an earlier refusal was written once more.
+def test_server_that_wrote_twice_gets_a_connection_for_each_call(pool, server):
+    server.copies = 1
+    assert call(pool, server) == 1
+    time.sleep(0.05)
+    server.copies = 0
+    assert [call(pool, server) for _ in range(4)] == [2, 3, 4, 5]
+    assert server.connections == 5
+
+
+def test_server_that_closes_idle_connections_is_trusted(pool, server):
+    server.hangs_up = True
+    assert call(pool, server) == 1
+    time.sleep(0.05)
+    server.hangs_up = False
+    assert [call(pool, server) for _ in range(4)] == [2, 3, 4, 5]
+    assert server.connections == 2
--- a/tests/hemlockreel_platform/test_replicas.py
+++ b/tests/hemlockreel_platform/test_replicas.py
@@ -1,5 +1,8 @@
 """Tests the client of replicas against each form of response."""
 
+import socket
+import threading
+
 import pytest
 
 from hemlockreel import outcomes
@@ -244,3 +247,36 @@
     found = backends.reserve(instance(stand_in), 10, 1.0)
     assert found.pause_s == 1.5
     assert [each.pause_s for each in seen] == [1.5]
+
+
+# REFUSED and TWICE of issue 30: an earlier refusal was written once more.
+def test_refusal_that_is_written_twice_answers_no_other_request():
+    listener = socket.create_server(("127.0.0.1", 0))
+    refusal = platform_replica.encode_json(
+        503, {}, (("Hemlockreel-Not-Executed", "1"),)
+    )
+    served = []
+
+    def serve():
+        for number in range(2):
+            sock, _ = listener.accept()
+            served.append(sock)
+            sock.recv(65536)
+            answer = b"".join(
+                [
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n",
+                    b"Hemlockreel-Response-Signature: x\r\n\r\nok",
+                ]
+            )
+            sock.sendall(2 * refusal if number == 0 else answer)
+
+    threading.Thread(target=serve, daemon=True).start()
+    port = listener.getsockname()[1]
+    found = instances.Instance("i-1", "s", f"127.0.0.1:{port}", "z", 6)
+    backends = replicas.Replicas()
+    arguments = (found, REQUEST, 1.0, PLAIN, mailbox.Mailbox())
+    assert backends.send(*arguments).ran is NOT_RUN
+    second = backends.send(*arguments)
+    assert (second.status, second.opened.read_body()) == (200, b"ok")
+    assert len(served) == 2
+    listener.close()
