Let hosts that are back open paths at once, and play cuts in the soak

The soak's new kind of fault cuts one host, half of them or all but one off the replicas: connects hang or are refused, and open connections are silent, reset or live on. Its check counts first tries at these hosts and at the others apart, as RECOVER does.

A host that has reached one replica again tries the others at once for two seconds, and a path is a direct try too if one is due.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/path_server.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/path_server.py
@@ -134,6 +134,7 @@
                 )
             )
             return "unreached"
+        self._post(reachability.DirectReached(instance.id, instance.service))
         return sock
 
     def _carry(self, sock: socket.socket, replica: socket.socket) -> None:
--- a/packages/hemlockreel/hemlockreel/forwarding/reachability.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/reachability.py
@@ -29,7 +29,11 @@
 RETRY_DIRECT_S = 1.0  # between direct tries of a replica that failed
 # The pause doubles up to this while no other host reaches the replica.
 MAX_RETRY_S = 4.0
-PROBE_PERIOD_S = 0.5  # of the tries that this host makes by itself
+PROBE_PERIOD_S = 0.3  # of the tries that this host makes by itself
+# After one replica was reached again the others most likely are as well, and
+# other hosts wait for paths through this one.
+RETURN_S = 2.0
+RETURN_PROBES = 4  # in each tick of that time
 # A replica that so many other hosts can't reach either most likely is gone,
 # and second ways to it would only add connections that fail. One host alone
 # may be cut off as well.
@@ -100,7 +104,8 @@
     ``helped`` and ``watched`` are what threads read: the ids with
     ``is_helped``, and the services with a replica that fails. Both are
     replaced as a whole. ``cut_since`` maps the services of which this host
-    seems to reach no replica to the time since which it does.
+    seems to reach no replica to the time since which it does. It has reached
+    one again just now, up to ``returning_until``.
     """
 
     def __init__(self):
@@ -110,6 +115,7 @@
         self.helper_paused_until: dict[str, float] = {}
         self.cut_since: dict[str, float] = {}
         self.next_probe_at = 0.0
+        self.returning_until = 0.0
         self.helped: frozenset[str] = frozenset()
         self.watched: frozenset[str] = frozenset()
 
@@ -158,7 +164,8 @@
 ) -> instances.Instance | str:
     """Returns a replica to open a path to, or why this host opens none.
 
-    It opens paths only to replicas that it might call itself.
+    It opens paths only to replicas that it might call itself. The path is
+    also a direct try of a replica that failed, if that is due.
     """
     known = board.state(instances.State)
     found = known.instances.get(id)
@@ -168,8 +175,12 @@
         return "leaving"
     if replica_pauses.is_paused(board, found, now):
         return "paused"
-    if id in board.state(State).failing:
+    state = board.state(State)
+    failing = state.failing.get(id)
+    if failing is not None and now < failing.next_try_at:
         return "unreached"
+    if failing is not None:
+        state.failing[id] = failing._replace(next_try_at=now + RETRY_DIRECT_S)
     return found
 
 
@@ -217,6 +228,9 @@
     state.gone_until.pop(event.id, None)
     if state.failing.pop(event.id, None) is not None:
         yield actions.Log("replica_in_reach", {"replica": event.id})
+        state.returning_until = now + RETURN_S
+        for id, each in state.failing.items():
+            state.failing[id] = each._replace(next_try_at=now)
     yield from _update(board, now)
 
 
@@ -267,9 +281,11 @@
     _forget_past(state.gone_until, now)
     _forget_past(state.helper_paused_until, now)
     yield from _update(board, now)
-    if now >= state.next_probe_at:
+    if now < state.returning_until:
+        yield from _probe(board, now, RETURN_PROBES)
+    elif now >= state.next_probe_at:
         state.next_probe_at = now + PROBE_PERIOD_S
-        yield from _probe(board, now)
+        yield from _probe(board, now, 1)
 
 
 def _forget_past(times: dict[str, float], now: float) -> None:
@@ -277,8 +293,10 @@
         del times[key]
 
 
-def _probe(board: boards.Board, now: float) -> Iterable[actions.Action]:
-    """Tries one replica, so that the way back needs no request.
+def _probe(
+    board: boards.Board, now: float, most: int
+) -> Iterable[actions.Action]:
+    """Tries up to ``most`` replicas, so that the way back needs no request.
 
     While this host seems cut off from a service, a replica that is not known
     to fail shows soonest whether it is.
@@ -300,8 +318,13 @@
         for each in chosen
         if not replica_pauses.is_paused(board, each, now)
     ]
-    if chosen:
-        yield actions.TryConnect(board.rng.choice(chosen))
+    for each in board.rng.sample(chosen, min(most, len(chosen))):
+        failing = state.failing.get(each.id)
+        if failing is not None:
+            state.failing[each.id] = failing._replace(
+                next_try_at=now + RETRY_DIRECT_S
+            )
+        yield actions.TryConnect(each)
 
 
 def _update(board: boards.Board, now: float) -> Iterable[actions.Action]:
--- a/packages/hemlockreel/tests/forwarding/test_reachability.py
+++ b/packages/hemlockreel/tests/forwarding/test_reachability.py
@@ -52,6 +52,16 @@
     assert not board(site, first).state(reachability.State).failing
 
 
+# Hosts that were cut off just now may be the only ones to help the next.
+@pytest.mark.parametrize("hosts", [4, 13, 195])
+def test_hosts_help_as_soon_as_they_are_back(hosts):
+    site = cut_rig.Site(hosts)
+    request_until_cut(site, site.hosts[1:])
+    site.cut = {site.hosts[0]}
+    site.run(1.0)
+    assert all(site.request(site.hosts[0]).status == 200 for _ in range(10))
+
+
 def test_cut_off_hosts_leave_the_addresses_unless_all_are(site):
     for host in site.hosts:
         membership.table(board(site, host)).configuration = 1
--- a/standins/hemlockreel_standins/cut_rig.py
+++ b/standins/hemlockreel_standins/cut_rig.py
@@ -80,6 +80,8 @@
             failed = reachability.DirectFailed(instance.id, instance.service)
             site.fleet.fabric.post(via, failed)
             return _Dial(dialing.Outcome.REFUSED, via)
+        reached = reachability.DirectReached(instance.id, instance.service)
+        site.fleet.fabric.post(via, reached)
         return _Dial(dialing.Outcome.OPEN, via)
 
     def wait(self, dials: list[_Dial], seconds: float) -> _Dial | None:
--- a/standins/hemlockreel_standins/host_links.py
+++ b/standins/hemlockreel_standins/host_links.py
@@ -55,9 +55,9 @@
                 each.close()
 
     def _show(self, body: Any) -> Any:
+        if not isinstance(body, dict) or "as_of" not in body:
+            return body
         found = copy.deepcopy(body)
-        if not isinstance(found, dict):
-            return found
         listed = [each["object"] for each in found.get("events", ())]
         for each in [*found.get("items", ()), *listed]:
             entry = each["specification"]
--- a/standins/hemlockreel_standins/soak/__main__.py
+++ b/standins/hemlockreel_standins/soak/__main__.py
@@ -85,6 +85,7 @@
     lines = [*found.log.spans, *found.log.sent, *found.log.runs]
     lines += [*found.log.lapses, *found.log.part_arrivals]
     lines += [*found.log.part_crashes, *found.log.limits]
+    lines += found.log.cut_offs
     (kept / "records.txt").write_text("\n".join(map(repr, lines)) + "\n")
     print(f"  kept in {kept}")
 
--- a/standins/hemlockreel_standins/soak/plan.py
+++ b/standins/hemlockreel_standins/soak/plan.py
@@ -40,6 +40,7 @@
     REPLICA_LIMITED = "replica_limited"  # names how many requests it takes
     REQUEST_CRASHES = "request_crashes"  # one request crashes what runs it
     SOFTWARE_RELEASED = "software_released"  # engines get a newer version
+    CUT_OFF = "cut_off"  # some hosts lose their links to all replicas
 
 
 # The relative frequency of each kind. Killing all hosts is rare, since it
@@ -62,12 +63,14 @@
     Kind.PART_CRASHES: 16.0,
     Kind.REPLICA_LIMITED: 16.0,
     Kind.REQUEST_CRASHES: 16.0,
+    Kind.CUT_OFF: 10.0,
 }
 # What must hold some seconds after these begin needs longer faults.
 MIN_DURATION_S = {
     Kind.PART_CRASHES: 12.0,
     Kind.REPLICA_LIMITED: 8.0,
     Kind.REQUEST_CRASHES: 12.0,
+    Kind.CUT_OFF: 5.0,
 }
 LATER_KINDS = (
     Kind.STORE_RESTORED,
@@ -75,7 +78,9 @@
     Kind.REPLICA_LIMITED,
     Kind.REQUEST_CRASHES,
     Kind.SOFTWARE_RELEASED,
+    Kind.CUT_OFF,
 )
+CUT_MODES = ("cut", "refused", "new_refused")
 LINK_MODES = ("delayed", "reset", "silent", "no_requests", "no_answers")
 REPLICA_MODES = (
     "no_bytes",
@@ -161,6 +166,8 @@
     how = ""
     if kind in (Kind.STORE_LINK, Kind.REPLICA_LINK):
         how = rng.choice(LINK_MODES)
+    if kind is Kind.CUT_OFF:
+        how = rng.choice(CUT_MODES)
     return Step(
         at_s, kind, index, for_s if kind in MAX_DURATION_S else 0.0, how
     )
--- a/standins/hemlockreel_standins/soak/play.py
+++ b/standins/hemlockreel_standins/soak/play.py
@@ -179,6 +179,9 @@
         kind.REQUEST_CRASHES: lambda: deployment.send_crashing_request(
             step.index, step.for_s
         ),
+        kind.CUT_OFF: lambda: deployment.cut_off(
+            step.index, step.how, step.for_s
+        ),
         kind.SOFTWARE_RELEASED: lambda: deployment.release_software(
             step.index
         ),
--- a/standins/hemlockreel_standins/soak/promises.py
+++ b/standins/hemlockreel_standins/soak/promises.py
@@ -33,6 +33,9 @@
 LIMIT_FACTOR = 1.5  # of what a named limit allows in the window
 LIMIT_SLACK = 5  # requests
 TOLD_S = 0.5  # after a host has passed on an answer that names a limit
+MIN_CUT_OFF_SHARE = 2 / 3  # of the others' share of first tries served
+CUT_OFF_SLACK = 10  # first tries that may fail, and one in:
+CUT_OFF_RATIO = 50
 ALL_HOSTS = "all"  # the target of a span that affects every host
 
 
@@ -71,6 +74,7 @@
         *check_crashing_parts(log),
         *check_bystanders(log),
         *check_limits(log),
+        *check_cut_off(log),
     ]
 
 
@@ -507,3 +511,43 @@
         return False
     own = [span for span in log.spans if span.target == host]
     return is_undisturbed(own, {host}, told_at, at)
+
+
+def check_cut_off(log: records.Log) -> Iterator[Violation]:
+    """Hosts without any replica serve first tries like the others.
+
+    That holds from ``STABLE_S`` after a cut began, for hosts to which nothing
+    else was done, while something is served at the others. A caller that
+    comes back with a stream makes no first try.
+    """
+    for cut in log.cut_offs:
+        tries = [
+            each
+            for each in log.sent
+            if cut.began_at + STABLE_S <= each.began_at <= cut.ended_at
+            and each.ended_at <= cut.ended_at
+            and each.left_at is None
+            and not each.part
+            and not each.resumes
+            and is_undisturbed(
+                log.spans, {each.host}, each.began_at, each.ended_at
+            )
+        ]
+        at_cut = [each for each in tries if each.host in cut.hosts]
+        others = [each for each in tries if each.host not in cut.hosts]
+        failed = len(at_cut) - _count_served(at_cut)
+        if failed <= CUT_OFF_SLACK + len(at_cut) / CUT_OFF_RATIO or not others:
+            continue
+        share = _count_served(at_cut) / len(at_cut)
+        wanted = MIN_CUT_OFF_SHARE * _count_served(others) / len(others)
+        if share < wanted:
+            yield Violation(
+                "cut_off",
+                f"{len(at_cut) - failed} of {len(at_cut)} served at hosts "
+                f"without replicas, {_count_served(others)} of {len(others)} "
+                f"at the others, from {cut.began_at:.1f}",
+            )
+
+
+def _count_served(sent: Iterable[records.Sent]) -> int:
+    return sum(each.status == OK and each.whole for each in sent)
--- a/standins/hemlockreel_standins/soak/records.py
+++ b/standins/hemlockreel_standins/soak/records.py
@@ -99,6 +99,14 @@
     ended_at: float
 
 
+class CutOff(NamedTuple):
+    """The hosts ``hosts`` reached no replica by themselves meanwhile."""
+
+    hosts: tuple[str, ...]
+    began_at: float
+    ended_at: float
+
+
 class Log:
     """The records of one run, by type; safe to add to from many threads."""
 
@@ -110,6 +118,7 @@
         self.limits: list[Limit] = []
         self.part_arrivals: list[PartArrival] = []
         self.part_crashes: list[PartCrash] = []
+        self.cut_offs: list[CutOff] = []
         self._lock = threading.Lock()
 
     def add(self, record: Any) -> None:
@@ -122,6 +131,7 @@
             Limit: self.limits,
             PartArrival: self.part_arrivals,
             PartCrash: self.part_crashes,
+            CutOff: self.cut_offs,
         }
         with self._lock:
             lists[type(record)].append(record)
--- a/standins/hemlockreel_standins/soak/site.py
+++ b/standins/hemlockreel_standins/soak/site.py
@@ -8,6 +8,7 @@
 import time
 from typing import Any
 
+from .. import host_links
 from .. import platform_site
 from .. import platform_store
 from .. import server
@@ -55,11 +56,17 @@
 
 
 class Host:
-    """A daemon and its link to the store."""
-
-    def __init__(self, daemon: platform_site.Daemon, proxy: link.Link):
+    """A daemon, its link to the store and its links to the replicas."""
+
+    def __init__(
+        self,
+        daemon: platform_site.Daemon,
+        proxy: link.Link,
+        links: host_links.Links,
+    ):
         self.daemon = daemon
         self.store_link = proxy
+        self.links = links
         self.lock = threading.Lock()
 
     @property
@@ -82,6 +89,7 @@
         self._move = threading.Lock()
         self._written: dict[tuple[str, str], Any] = {}
         self._writing = threading.Lock()
+        self._cutting = threading.Lock()  # one cut at a time
         self.store = platform_store.Store()
         self._store_address = server.start(self.store)
         self.prefill_results = backends.PrefillResults(log)
@@ -94,14 +102,15 @@
         self._write_routes()
         self.hosts: list[Host] = []
         for number in range(hosts):
-            store_link = link.Link(self._store_address)
+            links = host_links.Links(self.store)
+            store_link = link.Link(links.store_address)
             seeds = tuple(
                 host.daemon.listen["control_plane"] for host in self.hosts[:3]
             )
             daemon = platform_site.Daemon(
                 folder, store_link.address, number, seeds
             )
-            self.hosts.append(Host(daemon, store_link))
+            self.hosts.append(Host(daemon, store_link, links))
         self.daemons = [host.daemon for host in self.hosts]
         threading.Thread(target=self._sweep, daemon=True).start()
 
@@ -111,6 +120,7 @@
         super().close()
         for host in self.hosts:
             host.store_link.close()
+            host.links.close()
         for replica in self.replicas:
             replica.link.close()
             replica.backend.close()
@@ -348,6 +358,28 @@
         host.daemon.process.send_signal(signal.SIGHUP)
         self._record("reload", host.name, time.monotonic())
 
+    def cut_off(self, number: int, how: str, for_s: float) -> None:
+        """Cuts some hosts off all replicas for ``for_s`` seconds.
+
+        By ``number`` that is one host, about half of them or all but one.
+        Callers, the store and the other hosts still reach them, so other
+        promises hold for them as before.
+        """
+        hosts = len(self.hosts)
+        count = (1, hosts // 2, hosts - 1)[number % 3]
+        first = number % hosts
+        chosen = [self.hosts[(first + i) % hosts] for i in range(count)]
+        with self._cutting:
+            began_at = time.monotonic()
+            for host in chosen:
+                host.links.set(link.Mode(how))
+            self.closing.wait(for_s)
+            for host in chosen:
+                host.links.set(link.Mode.WHOLE)
+            now = time.monotonic()
+        names = tuple(host.name for host in chosen)
+        self.log.add(records.CutOff(names, began_at, now))
+
     # The store
 
     def inject_store_fault(
--- a/standins/tests/soak/test_play.py
+++ b/standins/tests/soak/test_play.py
@@ -66,3 +66,12 @@
     found = play.play(5, 8.0, 4, 12, tmp_path, choices)
     assert found.violations == []
     assert any(each.resumes and each.whole for each in found.log.sent)
+
+
+# RECOVER of issue 30: callers of hosts without any replica were refused.
+@pytest.mark.parametrize("seed", [1, 2])
+def test_callers_of_cut_off_hosts_are_served(seed, tmp_path):
+    choices = plan.Choices((plan.Kind.CUT_OFF, plan.Kind.ROUTE_MOVED), ())
+    found = play.play(seed, 6.0, 4, 10, tmp_path, choices)
+    assert found.log.cut_offs
+    assert found.violations == []
