--- a/standins/tests/soak/test_promises.py
+++ b/standins/tests/soak/test_promises.py
@@ -324,3 +324,44 @@
     assert violated_promises(first, *found, *runs, limit) == expected
     killed = records.Span("killed", HOST, 5.0, 20.0)
     assert violated_promises(first, *found, *runs, limit, killed) == set()
+
+
+# RECOVER of issue 30: first tries at cut hosts, counted apart.
+@pytest.mark.parametrize(
+    ("served_at_cut", "others_served", "expected"),
+    [
+        (40, 40, set()),
+        (27, 40, set()),
+        (26, 40, {"cut_off"}),
+        (0, 40, {"cut_off"}),
+        (0, 0, set()),
+    ],
+)
+def test_hosts_without_replicas_must_serve_like_the_others(
+    served_at_cut, others_served, expected
+):
+    cut = records.CutOff((HOST,), 10.0, 30.0)
+    found = [cut]
+    for number in range(80):
+        at_cut = number < 40
+        served = number % 40 < (served_at_cut if at_cut else others_served)
+        sent = sent_request(
+            id=f"r{number}",
+            at=13.0 + number / 10,
+            host=HOST if at_cut else "127.0.0.1:2",
+        )
+        if not served:
+            sent = sent._replace(status=503, signed=False, body=b"")
+        found += [sent, *([run_of(sent)] if served else [])]
+    found_promises = violated_promises(*found) - {"recovery"}
+    assert found_promises == expected
+
+
+def test_the_first_seconds_of_a_cut_do_not_count():
+    cut = records.CutOff((HOST,), 10.0, 30.0)
+    sent = [
+        sent_request(id=f"r{n}", at=10.0 + n / 20, status=503, signed=False)
+        for n in range(50)
+    ]
+    sent += [sent_request(id="o", at=14.0, host="127.0.0.1:2")]
+    assert "cut_off" not in violated_promises(cut, *sent)
