Bound the pause of replicas that fail for hours, and known paths by nothing

The doubled pause between tries of a replica would have overflowed a float after some 1,000 failures and ended the loop. The bound on second ways also held for replicas that are known to be reached through others only, whose requests it would have refused; it is for ways beside a direct one. The first two have tests that fail without this.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/connector.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/connector.py
@@ -24,8 +24,8 @@
 # again only after a second.
 HEAD_START_S = 0.06
 HELPER_HEAD_START_S = 0.12  # for the first helper, which connects as well
-# Requests that open a second way at the same time. More would wait for the
-# same replicas.
+# Requests that open a second way beside the direct one at the same time. More
+# would wait for the same replicas.
 MAX_SECOND_WAYS = 16
 
 
@@ -41,6 +41,7 @@
         helper: tuple[str, str],
         instance: instances.Instance,
         wait_s: float,
+        brief: bool,
     ) -> dialing.Dial:
         """Begins to open a path through another host."""
         ...
@@ -64,7 +65,8 @@
     """Connects to replicas for all worker threads of a daemon.
 
     ``post`` and ``query`` are those of the loop. The loop replaces ``helped``
-    and ``watched``, see :class:`reachability.State`.
+    and ``watched``, see :class:`reachability.State`. ``second_ways`` bounds
+    the second ways that are being opened.
     """
 
     def __init__(
@@ -78,17 +80,21 @@
         self._post = post
         self._query = query
         self._dialer = dialer or SocketDialer()
-        self._second_ways = threading.BoundedSemaphore(MAX_SECOND_WAYS)
+        self.second_ways = threading.BoundedSemaphore(MAX_SECOND_WAYS)
 
     def connect(
-        self, instance: instances.Instance, timeout_s: float
+        self,
+        instance: instances.Instance,
+        timeout_s: float,
+        brief: bool = False,
     ) -> bounded_sockets.BoundedSocket:
-        """Returns a connection to a replica.
+        """Returns a connection to a replica, for short calls if ``brief``.
 
         Raises :class:`ConnectionError` if there is none after ``timeout_s``;
         then the replica has got nothing.
         """
-        opening = _Opening(self._dialer, instance, clock.now() + timeout_s)
+        ends_at = clock.now() + timeout_s
+        opening = _Opening(self._dialer, instance, ends_at, brief)
         done = None
         if instance.id not in self.helped:
             opening.begin_direct()
@@ -105,7 +111,8 @@
         The direct way has all the time. If it fails and no other host is
         known to reach the replica, one is asked.
         """
-        opening = _Opening(self._dialer, instance, clock.now() + timeout_s)
+        ends_at = clock.now() + timeout_s
+        opening = _Opening(self._dialer, instance, ends_at, brief=True)
         opening.begin_direct()
         done = opening.wait(timeout_s)
         if done is None and instance.id not in self.helped:
@@ -131,19 +138,29 @@
 
         Up to ``most`` other hosts are asked, one after the other.
         """
-        if not self._second_ways.acquire(blocking=False):
-            return opening.wait_for_last()
-        try:
-            for helper in self._pick_helpers(instance)[:most]:
-                opening.begin_path(helper)
-                done = opening.wait(HELPER_HEAD_START_S)
-                if done is not None:
-                    return done
-            if not opening.has_direct:
+        if not opening.has_direct:
+            done = self._open_path(opening, instance, most)
+            if done is None:
                 opening.begin_direct()
-            return opening.wait_for_last()
-        finally:
-            self._second_ways.release()
+        elif self.second_ways.acquire(blocking=False):
+            try:
+                done = self._open_path(opening, instance, most)
+            finally:
+                self.second_ways.release()
+        else:
+            done = None
+        return done or opening.wait_for_last()
+
+    def _open_path(
+        self, opening: "_Opening", instance: instances.Instance, most: int
+    ) -> dialing.Dial | None:
+        """Asks other hosts until one way stands."""
+        for helper in self._pick_helpers(instance)[:most]:
+            opening.begin_path(helper)
+            done = opening.wait(HELPER_HEAD_START_S)
+            if done is not None:
+                return done
+        return None
 
     def _pick_helpers(
         self, instance: instances.Instance
@@ -205,11 +222,16 @@
     """The ways to one replica that are being opened for one request."""
 
     def __init__(
-        self, dialer: Dialer, instance: instances.Instance, ends_at: float
+        self,
+        dialer: Dialer,
+        instance: instances.Instance,
+        ends_at: float,
+        brief: bool,
     ):
         self._dialer = dialer
         self._instance = instance
         self._ends_at = ends_at
+        self._brief = brief
         self._pending: list[dialing.Dial] = []
         self._direct: dialing.Dial | None = None
         self.failed: list[dialing.Dial] = []
@@ -240,7 +262,9 @@
     def begin_path(self, helper: tuple[str, str]) -> None:
         """Begins to open a path through ``helper``."""
         left_s = max(0.0, self._ends_at - clock.now())
-        self._pending.append(self._dialer.path(helper, self._instance, left_s))
+        self._pending.append(
+            self._dialer.path(helper, self._instance, left_s, self._brief)
+        )
 
     def extend(self, seconds: float) -> None:
         """Gives all ways so much time from now on."""
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/dialing.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/dialing.py
@@ -76,6 +76,7 @@
         helper: tuple[str, str],
         instance: instances.Instance,
         wait_s: float,
+        brief: bool,
     ):
         address, self.via = helper
         self._line = path_sockets.encode(
@@ -83,6 +84,7 @@
                 instance.id,
                 instance.born,
                 max(1, int(wait_s * 1000)),
+                brief,
             )
         )
         self._reply = bytearray()
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/interfaces.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/interfaces.py
@@ -17,8 +17,11 @@
 from .. import http_calls
 from .. import mailbox
 
-# Connects to a replica within a number of seconds, or raises an OSError.
-Connect = Callable[[instances.Instance, float], bounded_sockets.BoundedSocket]
+# Connects to a replica within a number of seconds, for short calls if the last
+# argument is set, or raises an OSError.
+Connect = Callable[
+    [instances.Instance, float, bool], bounded_sockets.BoundedSocket
+]
 
 
 class Head(NamedTuple):
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/path_server.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/path_server.py
@@ -53,7 +53,7 @@
 
     @property
     def active(self) -> int:
-        """The number of paths that are open."""
+        """The number of open paths with a caller's request."""
         return self._open
 
     def start(self) -> None:
@@ -103,7 +103,7 @@
                     self._reply(sock, found)
                     return
                 with found:
-                    self._carry(sock, found)
+                    self._carry(sock, found, request.brief)
         finally:
             self._free.release()
 
@@ -144,19 +144,23 @@
         self._post(reachability.DirectReached(instance.id, instance.service))
         return sock
 
-    def _carry(self, sock: socket.socket, replica: socket.socket) -> None:
+    def _carry(
+        self, sock: socket.socket, replica: socket.socket, brief: bool
+    ) -> None:
         self._reply(sock, path_sockets.OPEN)
         self._count(path_sockets.OPEN)
         with contextlib.suppress(OSError):
             caller_sockets.enable_keepalive(sock)
         carrier = path_sockets.Carrier(sock, replica)
-        with self._lock:
-            self._open += 1
+        self._add_open(0 if brief else 1)
         try:
             carrier.run(clock.now() + MAX_PATH_S)
         finally:
-            with self._lock:
-                self._open -= 1
+            self._add_open(0 if brief else -1)
+
+    def _add_open(self, count: int) -> None:
+        with self._lock:
+            self._open += count
 
     def _reply(self, sock: socket.socket, status: str) -> None:
         with contextlib.suppress(OSError):
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/path_sockets.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/path_sockets.py
@@ -28,11 +28,16 @@
 
 
 class PathRequest(msgspec.Struct, frozen=True):
-    """Asks for a connection to one run of a replica within ``wait_ms``."""
+    """Asks for a connection to one run of a replica within ``wait_ms``.
+
+    It is for a caller's request, or for short calls one after the other if it
+    is ``brief``.
+    """
 
     replica: str
     born: int
     wait_ms: int
+    brief: bool = False
 
 
 class PathReply(msgspec.Struct, frozen=True):
--- a/packages/hemlockreel/hemlockreel/forwarding/reachability.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/reachability.py
@@ -86,14 +86,15 @@
 class Failing(NamedTuple):
     """A replica that this host failed to reach by itself ``since`` then.
 
-    ``failures`` counts the tries. ``is_helped`` is set while another host
-    reaches it, and ``unhelped_by`` are those that could not since one did.
+    ``pause_s`` is the pause after the next try. ``is_helped`` is set while
+    another host reaches it, and ``unhelped_by`` are those that could not since
+    one did.
     """
 
     service: str
     since: float
     next_try_at: float
-    failures: int = 0
+    pause_s: float = RETRY_DIRECT_S
     is_helped: bool = False
     unhelped_by: frozenset[str] = frozenset()
 
@@ -212,11 +213,10 @@
         fields = {"replica": event.id, "detail": event.detail}
         yield actions.Log("replica_out_of_reach", fields)
         known = Failing(event.service, now, now)
-    pause_s = RETRY_DIRECT_S
-    if not known.is_helped:
-        pause_s = min(pause_s * 2**known.failures, MAX_RETRY_S)
+    pause_s = RETRY_DIRECT_S if known.is_helped else known.pause_s
     state.failing[event.id] = known._replace(
-        next_try_at=now + pause_s, failures=known.failures + 1
+        next_try_at=now + pause_s,
+        pause_s=min(2 * known.pause_s, MAX_RETRY_S),
     )
     yield from _update(board, now)
 
--- a/packages/hemlockreel/tests/forwarding/test_reachability.py
+++ b/packages/hemlockreel/tests/forwarding/test_reachability.py
@@ -12,6 +12,7 @@
 from hemlockreel.forwarding import ranking
 from hemlockreel.forwarding import reachability
 from hemlockreel.forwarding import replica_health
+from hemlockreel_daemon.forwarding import connector
 
 SPREAD_S = 3.0  # the platform's stability_ms, for news to reach all hosts
 
@@ -136,6 +137,25 @@
     assert {via for _, via in site.arrivals[-10:]}.isdisjoint({"", first})
 
 
+def test_replica_may_fail_for_hours(site):
+    at = board(site, site.hosts[0])
+    failed = reachability.DirectFailed("s0", "lesar")
+    for turn in range(3000):
+        list(reachability.handle(failed, at, site.now + 4.0 * turn))
+    found = at.state(reachability.State).failing["s0"]
+    assert found.next_try_at - (site.now + 4.0 * 2999) == (
+        reachability.MAX_RETRY_S
+    )
+
+
+def test_known_paths_need_not_wait_for_slow_connects(site):
+    first = site.hosts[0]
+    request_until_cut(site, [first])
+    for _ in range(connector.MAX_SECOND_WAYS):
+        site.second_ways.acquire()
+    assert site.request(first).status == 200
+
+
 def test_work_is_shared_by_the_hosts_that_are_left(site):
     request_until_cut(site, site.hosts[:9])
     site.arrivals.clear()
--- a/standins/hemlockreel_standins/cut_rig.py
+++ b/standins/hemlockreel_standins/cut_rig.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import threading
 from typing import Any
 
 from hemlockreel import actions
@@ -63,6 +64,7 @@
         helper: tuple[str, str],
         instance: instances.Instance,
         wait_s: float,
+        brief: bool,
     ) -> _Dial:
         """Asks another host, which looks at its own board."""
         site, (_, via) = self._site, helper
@@ -107,6 +109,9 @@
         self.connects: list[tuple[str, str]] = []
         self.paths: list[tuple[str, str]] = []
         self.arrivals: list[tuple[str, str]] = []
+        self.second_ways = threading.BoundedSemaphore(
+            connector.MAX_SECOND_WAYS
+        )
         self.fleet.fabric.call = self._call
         self._numbers = itertools.count(1)
         self._servers = tuple(
@@ -137,6 +142,7 @@
         found = connector.Connector(loop.post, loop.query, _Dialer(self, host))
         seen = loop.board.state(reachability.State)
         found.helped, found.watched = seen.helped, seen.watched
+        found.second_ways = self.second_ways
         return found
 
     def _call(self, host: str, action: Any) -> None:
