Take requests under way as a cut begins for disturbed in the soak

The users' rule counts no request with an unplanned disruption in the 3 s before it, and none that has used its time; the check of planned stops counted it. It is narrowed for the first 3 s of a cut at the hosts that are cut off, and nothing else.

--- a/standins/hemlockreel_standins/soak/promises.py
+++ b/standins/hemlockreel_standins/soak/promises.py
@@ -281,8 +281,16 @@
 def check_stops(
     log: records.Log, runs: dict[str, list[records.Run]]
 ) -> Iterator[Violation]:
-    """A planned stop ends in time and cuts no request that is running."""
+    """A planned stop ends in time and cuts no request that is running.
+
+    What runs at a host that is being cut off replicas is disturbed as well.
+    """
     others = [span for span in log.spans if span.kind not in PLANNED_KINDS]
+    others += [
+        records.Span("cut_off", host, cut.began_at, cut.began_at)
+        for cut in log.cut_offs
+        for host in cut.hosts
+    ]
     for span in log.spans:
         if span.kind == "overran" and is_undisturbed(
             others, {span.target}, span.began_at, span.ended_at
--- a/standins/tests/soak/test_promises.py
+++ b/standins/tests/soak/test_promises.py
@@ -365,3 +365,16 @@
     ]
     sent += [sent_request(id="o", at=14.0, host="127.0.0.1:2")]
     assert "cut_off" not in violated_promises(cut, *sent)
+
+
+# A stream that runs as its host is cut off ends with its time.
+@pytest.mark.parametrize(
+    ("began_at", "expected"), [(9.0, set()), (11.0, set()), (14.0, {"stop"})]
+)
+def test_requests_as_a_cut_begins_are_disturbed(began_at, expected):
+    sent = sent_request(
+        prefix="/drafts/", at=began_at, ended_at=began_at + 2.0, whole=False
+    )
+    cut = records.CutOff((HOST,), 10.0, 30.0)
+    found = violated_promises(sent, run_of(sent, "drafter-1"), cut)
+    assert found & {"stop"} == expected
