Leave a host out for the one replica that it can't reach

A host that answers that it can't reach a replica was asked for no path to any replica for a second.

The pause is for that replica now, and for all only without an answer, or with one about the host itself.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/connector.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/connector.py
@@ -64,9 +64,9 @@
 class Connector:
     """Connects to replicas for all worker threads of a daemon.
 
-    ``post`` and ``query`` are those of the loop. The loop replaces ``helped``
-    and ``watched``, see :class:`reachability.State`. ``second_ways`` bounds
-    the second ways that are being opened.
+    ``post``, ``query`` and ``now`` are those of the loop, which replaces
+    ``helped`` and ``watched``, see :class:`reachability.State`.
+    ``second_ways`` bounds the second ways that are being opened.
     """
 
     def __init__(
@@ -74,12 +74,14 @@
         post: Callable[[Any], None],
         query: Callable[[Callable[[Any], Any]], Any],
         dialer: Dialer | None = None,
+        now: Callable[[], float] = clock.now,
     ):
         self.helped: frozenset[str] = frozenset()
         self.watched: frozenset[str] = frozenset()
         self._post = post
         self._query = query
         self._dialer = dialer or SocketDialer()
+        self._now = now
         self.second_ways = threading.BoundedSemaphore(MAX_SECOND_WAYS)
 
     def connect(
@@ -168,7 +170,7 @@
         try:
             return self._query(
                 lambda board: reachability.pick_helpers(
-                    board, instance, clock.now()
+                    board, instance, self._now()
                 )
             )
         except queue.Empty:  # the loop doesn't answer
@@ -203,9 +205,7 @@
                 refused = dial.outcome is dialing.Outcome.REFUSED
                 self._post(
                     reachability.PathFailed(
-                        instance.id,
-                        dial.via,
-                        refused and dial.detail == "unreached",
+                        instance.id, dial.via, dial.detail if refused else ""
                     )
                 )
         if done is not None and done.via:
--- a/packages/hemlockreel/hemlockreel/forwarding/reachability.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/reachability.py
@@ -40,6 +40,8 @@
 GONE_HELPERS = 2
 GONE_S = 1.0
 HELPER_PAUSE_S = 1.0  # after a host has opened no path
+# Answers that say nothing about paths to other replicas.
+REPLICA_REFUSALS = ("unreached", "unlisted", "leaving", "paused")
 MAX_HELPERS = 4  # asked for one connection, one after the other
 # So many replicas of a service must be out of reach, or all if it has fewer.
 # One alone has most likely crashed.
@@ -74,13 +76,12 @@
 class PathFailed(NamedTuple):
     """A path to the replica ``id`` through ``helper`` was not opened.
 
-    ``is_unreached`` is set if the helper said that it can't reach the replica
-    either.
+    ``answer`` is why, in the helper's words, and empty if it gave none.
     """
 
     id: str
     helper: str
-    is_unreached: bool
+    answer: str
 
 
 class Failing(NamedTuple):
@@ -106,14 +107,16 @@
     ``is_helped``, and the services with a replica that fails. Both are
     replaced as a whole. ``cut_since`` maps the services of which this host
     seems to reach no replica to the time since which it does. It has reached
-    one again just now, up to ``returning_until``.
+    one again just now, up to ``returning_until``. ``helper_paused_until`` has
+    the time until which a host isn't asked for paths to a replica, or to any
+    if the id is empty.
     """
 
     def __init__(self):
         self.failing: dict[str, Failing] = {}
         self.reached_at: dict[str, float] = {}
         self.gone_until: dict[str, float] = {}
-        self.helper_paused_until: dict[str, float] = {}
+        self.helper_paused_until: dict[tuple[str, str], float] = {}
         self.cut_since: dict[str, float] = {}
         self.next_probe_at = 0.0
         self.returning_until = 0.0
@@ -137,7 +140,8 @@
         (each.paths, each.host)
         for each in _others(board)
         if _may_help(each, instance.service)
-        and paused.get(each.host, now) <= now
+        and paused.get((each.host, ""), now) <= now
+        and paused.get((each.host, instance.id), now) <= now
     ]
     return tuple(board.rng.sample(found, min(MAX_HELPERS, len(found))))
 
@@ -258,9 +262,11 @@
 ) -> Iterable[actions.Action]:
     state = board.state(State)
     yield actions.Count("paths", 1, ("failed",))
-    state.helper_paused_until[event.helper] = now + HELPER_PAUSE_S
+    concerned = event.id if event.answer in REPLICA_REFUSALS else ""
+    key = event.helper, concerned
+    state.helper_paused_until[key] = now + HELPER_PAUSE_S
     known = state.failing.get(event.id)
-    if known is None or not event.is_unreached:
+    if known is None or event.answer != "unreached":
         return
     unhelped_by = known.unhelped_by | {event.helper}
     found = known._replace(unhelped_by=unhelped_by)
@@ -290,7 +296,7 @@
         yield from _probe(board, now, 1)
 
 
-def _forget_past(times: dict[str, float], now: float) -> None:
+def _forget_past(times: dict[Any, float], now: float) -> None:
     for key in [key for key, until in times.items() if until <= now]:
         del times[key]
 
--- a/packages/hemlockreel/tests/forwarding/test_reachability.py
+++ b/packages/hemlockreel/tests/forwarding/test_reachability.py
@@ -156,6 +156,19 @@
     assert site.request(first).status == 200
 
 
+# Seed 903 of the soak: servers crashed one by one beside a cut.
+def test_replicas_that_are_gone_do_not_hide_the_only_helper():
+    site = cut_rig.Site(4, servers=9)
+    request_until_cut(site, site.hosts[1:])
+    site.down = {f"s{number}" for number in range(6)}
+    served = 0
+    for _ in range(10):
+        for host in site.hosts[1:]:
+            served += site.request(host).status == 200
+        site.run(0.2)
+    assert served == 30
+
+
 def test_work_is_shared_by_the_hosts_that_are_left(site):
     request_until_cut(site, site.hosts[:9])
     site.arrivals.clear()
--- a/standins/hemlockreel_standins/cut_rig.py
+++ b/standins/hemlockreel_standins/cut_rig.py
@@ -139,7 +139,9 @@
     def _connector(
         self, host: str, loop: crash_rig.FabricLoop
     ) -> connector.Connector:
-        found = connector.Connector(loop.post, loop.query, _Dialer(self, host))
+        found = connector.Connector(
+            loop.post, loop.query, _Dialer(self, host), lambda: self.now
+        )
         seen = loop.board.state(reachability.State)
         found.helped, found.watched = seen.helped, seen.watched
         found.second_ways = self.second_ways
