Show that sound requests are refused after crashes on one part

Replicas that write streams with neither a length nor chunks: when one part of prompts crashes them, the daemons block the first part, which all sound requests share. Complete answers without framing don't count as such, so no part is ever known to be sound.

--- a/review/harness.py
+++ b/review/harness.py
@@ -8,6 +8,7 @@
 import collections
 import contextlib
 import http.client
+import itertools
 import json
 import os
 import pathlib
@@ -105,7 +106,11 @@
         ).start()
 
     def stop(self):
-        """Closes the listener and resets all connections, like a crash."""
+        """Closes the listener and all connections.
+
+        What waits for a request is woken at once. What responds notices that
+        ``is_listening`` is false, and its channel is reset then.
+        """
         listener, self._listener = self._listener, None
         with contextlib.suppress(OSError):
             listener.shutdown(socket.SHUT_RDWR)
@@ -115,7 +120,12 @@
         for sock in found:
             with contextlib.suppress(OSError):
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-                sock.shutdown(socket.SHUT_RDWR)
+                sock.shutdown(socket.SHUT_RD)
+
+    @property
+    def is_listening(self):
+        """Whether the server accepts connections."""
+        return self._listener is not None
 
     def _accept(self, listener):
         while True:
@@ -232,24 +242,34 @@
         if method == "GET" and not name:
             if "watch" in query:
                 return self._watch(kind, query)
-            with self.lock:
-                items = [
-                    each
-                    for (other, _), each in sorted(self.objects.items())
-                    if other == kind
-                ]
-                return 200, {
-                    "items": items,
-                    "has_more": False,
-                    "as_of": self.revision,
-                }
+            return self._list(kind)
         given = json.loads(body) if body else {}
+        if method == "POST":
+            return self._create(kind, given)
+        return self._change(method, kind, name, query, given)
+
+    def _list(self, kind):
+        with self.lock:
+            items = [
+                each
+                for (other, _), each in sorted(self.objects.items())
+                if other == kind
+            ]
+            return 200, {
+                "items": items,
+                "has_more": False,
+                "as_of": self.revision,
+            }
+
+    def _create(self, kind, given):
+        name = given["metadata"]["name"]
+        with self.changed:
+            if (kind, name) in self.objects:
+                return 409, self.objects[kind, name]
+            return 200, self._write(kind, name, given["specification"])
+
+    def _change(self, method, kind, name, query, given):
         with self.changed:
-            if method == "POST":
-                name = given["metadata"]["name"]
-                if (kind, name) in self.objects:
-                    return 409, self.objects[kind, name]
-                return 200, self._write(kind, name, given["specification"])
             known = self.objects.get((kind, name))
             if known is None:
                 return 404, {"error": "no such object"}
@@ -277,6 +297,8 @@
                     if other == kind and at > since
                 ]
                 left = until - time.monotonic()
+                if not self.is_listening:
+                    raise OSError("the store is away")
                 if found or left <= 0:
                     return 200, {"events": found, "as_of": self.revision}
                 self.changed.wait(left)
@@ -474,3 +496,184 @@
         """Adds to the count of ``name``."""
         with self._counter_lock:
             self[name] += amount
+
+
+class Engine(Server):
+    """A model replica: it reads prompts, or it writes streams.
+
+    ``write(sock, request, id)`` writes the answer of a ``decode`` replica.
+    """
+
+    _numbers = itertools.count(1)
+    _handles = set()
+
+    def __init__(self, store, record, stage, service="lesar", **changes):
+        self.store = store
+        self.record = record
+        self.stage = stage
+        self.service = service
+        self.changes = changes
+        self.crashes = 0
+        self.begin_boot()
+        super().__init__()
+        self.register()
+
+    def begin_boot(self):
+        """Begins a new boot with a new id."""
+        self.id = f"i-{self.stage}-{next(self._numbers)}"
+        self.born = int(time.time() * 1000)
+
+    def register(self):
+        """Reports to the store."""
+        changes = {"slots": 16, "born": self.born, **self.changes}
+        value = entry(self, self.service, stage=self.stage, **changes)
+        self.store.put("servers", self.id, value)
+
+    def crash(self, seconds):
+        """Crashes, and is back ``seconds`` later with another id."""
+        old = self.id
+        self.crashes += 1
+        self.stop()
+        self.record.note(f"{old} has crashed")
+
+        def come_back():
+            time.sleep(seconds)
+            self.begin_boot()
+            self.start()
+            self.register()
+            self.record.note(f"{old} is back as {self.id}")
+            # Its entry goes after three reports that are missing.
+            time.sleep(max(0.0, 3.6 - seconds))
+            self.store.remove("servers", old)
+
+        threading.Thread(target=come_back, daemon=True).start()
+
+    def serve(self, sock, request):
+        """Responds to a control call, a prefill or a request."""
+        _, target, headers, _ = request
+        if target.startswith("/api/"):
+            sock.sendall(encode(*self._control(target)))
+            return True
+        if headers.get("hemlockreel-target-instance") != self.id:
+            sock.sendall(encode(421, {}))
+            return False
+        if headers.get("hemlockreel-serving-stage") == "prefill":
+            time.sleep(0.1)
+            name = f"{next(self._numbers):08x}"
+            self._handles.add(name)
+            found = {"kv_handle": name, "tokens": 5200, "version": 1}
+            sock.sendall(encode(200, found))
+            return True
+        handle = headers.get("hemlockreel-kv-source", "").partition("/")[2]
+        if handle:
+            if handle not in self._handles:
+                not_run = [("Hemlockreel-Not-Executed", "1")]
+                sock.sendall(encode(503, {}, not_run))
+                return True
+            self._handles.discard(handle)
+        self.write(sock, request, headers.get("hemlockreel-request-id", ""))
+        return False
+
+    def _control(self, target):
+        if target == "/api/hold-take":
+            return 200, {"hold": f"{next(self._numbers):08x}"}
+        if target == "/api/report":
+            return 200, {
+                "stage": self.stage,
+                "busy": False,
+                "sequence": 0,
+                "queued": 0,
+                "active": 0,
+            }
+        if target == "/api/order":
+            return 409, {}
+        self._handles.discard(target.rpartition("/")[2])
+        return 200, {}
+
+    def write(self, sock, request, id):
+        """Writes the answer to a request."""
+        raise NotImplementedError
+
+
+def stream_head(id, *lines):
+    """Returns the head of a stream."""
+    found = [
+        "HTTP/1.1 200 OK",
+        "Content-Type: text/event-stream",
+        f"Hemlockreel-Request-Id: {id}",
+        f"Hemlockreel-Response-Signature: {SIGNATURE}",
+        "Hemlockreel-Weight-Versions: 1",
+        *lines,
+    ]
+    return "\r\n".join([*found, "", ""]).encode()
+
+
+def event(number):
+    """Returns one event of a stream."""
+    return f"id: {number}\ndata: {'x' * 380}\n\n".encode()
+
+
+def chunk(data):
+    """Returns one chunk of a body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+ENGINE = {
+    "slots": 16,
+    "kv_capacity_tokens": 114005,
+    "stride": 1,
+    "handle_ttl_s": 0.5,
+    "switch_s": 6.0,
+    "hold_ms": 2000.0,
+}
+
+
+class Answer:
+    """What a client has got: the status, the events and how it ended.
+
+    ``status`` is 0 without an answer, ``first_s`` the time to the first
+    event and ``whole`` set if the answer looks complete.
+    """
+
+    def __init__(self):
+        self.status = 0
+        self.headers = {}
+        self.ids = []
+        self.body = b""
+        self.first_s = None
+        self.whole = False
+
+
+def ask(address, path, id, headers=(), body=b"", method="POST", wait_s=16):
+    """Sends a request on a new channel and reads the answer."""
+    host, _, port = address.rpartition(":")
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        f"Host: {HOST}",
+        f"Hemlockreel-Request-Id: {id}",
+        *(f"{name}: {value}" for name, value in headers),
+    ]
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    found = Answer()
+    started = time.monotonic()
+    link = http.client.HTTPResponse
+    try:
+        with socket.create_connection((host, int(port)), 1.0) as sock:
+            sock.settimeout(wait_s)
+            sock.sendall("\r\n".join([*lines, "", ""]).encode() + body)
+            response = link(sock, method=method)
+            response.begin()
+            found.status = response.status
+            found.headers = dict(response.getheaders())
+            while data := response.read1(65536):
+                found.body += data
+                if found.first_s is None and b"\n\n" in found.body:
+                    found.first_s = time.monotonic() - started
+            found.whole = True
+    except (OSError, http.client.HTTPException):
+        pass
+    for line in found.body.splitlines():
+        if found.status == 200 and line.startswith(b"id:"):
+            found.ids.append(int(line[3:]))
+    return found
