Take responses for whole only where their framing says so

What callers saw: a replica that broke an answer off within its head, before Content-Length, and closed the connection reached the caller as 200 with the replica's signature and an empty body that looks complete. Streams that were cut there ended as complete without an event.

Cause: the HTTP library takes the end of a connection for the end of whatever it reads, of a line, of a head and of the trailers after the last chunk. A head that is cut before its framing then states another one: a body until the end of the connection, which is empty. Nothing after the library could notice.

Change: all responses of the daemon are read by response_framing.Response. A line that the connection ends in is a failure, wherever the library reads it; so are framings that contradict themselves, header lines that are none, and chunk sizes that are no number. Interim heads other than 100 are skipped instead of being taken for the answer. JSON calls took any empty body for an empty object, also a body that lasts until the end of the connection: an empty one is an object only if the framing states it. That covers replicas, engines, services, the store, feeds, kept connections and paths through other hosts, which all read through http_calls.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/http_calls.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/http_calls.py
@@ -27,6 +27,7 @@
 from . import caller_sockets
 from . import json_documents
 from . import mailbox
+from . import response_framing
 
 CONNECT_TIMEOUT_S = 1.0
 READ_BYTES = 64 * 1024
@@ -66,6 +67,7 @@
 class _Connection(connection.HTTPConnection):
     """A connection over a bounded socket, opened by ``open_socket``."""
 
+    response_class = response_framing.Response
     open_socket: OpenSocket | None = None
 
     def _new_conn(self) -> socket.socket:
@@ -106,6 +108,16 @@
             parts.append(part)
         return b"".join(parts)
 
+    def read_json(self) -> Any:
+        """Returns the whole body as JSON; a stated empty one is an object.
+
+        Raises one of :data:`CALL_ERRORS`, or :class:`ValueError`.
+        """
+        body = self.read_body()
+        if not body and response_framing.is_framed(self.response):
+            return {}
+        return json_documents.loads(body)
+
     def close(self) -> None:
         """Closes the connection, even if the body was not fully read."""
         self.response.close()
@@ -215,7 +227,7 @@
         return opened
     try:
         with interrupting(box, opened.sock):
-            value = json_documents.loads(opened.read_body() or b"{}")
+            value = opened.read_json()
         return opened.response.status, value, opened.response.headers
     except (*CALL_ERRORS, ValueError) as error:
         return to_failure(error)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/kept_connections.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/kept_connections.py
@@ -33,7 +33,6 @@
 
 from . import clock
 from . import http_calls
-from . import json_documents
 
 # Used if the server states no time. A waiting request asks again after at
 # most 0.12 s.
@@ -173,7 +172,7 @@
             return opened
         may_keep = False
         try:
-            value = json_documents.loads(opened.read_body() or b"{}")
+            value = opened.read_json()
             mark = self._mark(value)
             if mark in marks:
                 self._distrust(key)
--- /dev/null
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/response_framing.py
@@ -0,0 +1,104 @@
+"""Responses that end where their own framing says, and nowhere else.
+
+The HTTP library takes the end of a connection for the end of whatever it
+reads: of a line, a head, or the trailers after the last chunk. A response that
+its server broke off there looks complete, and one that was broken off within
+its head even gets another framing. All reads of responses go through this
+module, so that the end of a connection is an end only where the framing says
+that the body lasts until then.
+"""
+
+from http import client
+import io
+import re
+import socket
+from typing import Any
+
+from urllib3.util import response as parsed_responses
+
+_LENGTH = re.compile(r"[0-9]{1,18}")
+_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;.*)?\r?\n", re.DOTALL)
+
+
+class BrokenOff(client.HTTPException):
+    """The connection ended within a response."""
+
+
+class Malformed(client.HTTPException):
+    """What was received is no response, or contradicts itself."""
+
+
+class _Lines(io.BufferedReader):
+    """Reads lines that are complete; the lines of chunks if ``has_chunks``.
+
+    It is the only reader of lines of a response: of its head, of the sizes of
+    its chunks and of the trailers.
+    """
+
+    has_chunks = False
+
+    def readline(self, size: int | None = -1) -> bytes:
+        """Returns the next line, or the first ``size`` bytes of it.
+
+        Raises :class:`BrokenOff` at the end of the connection.
+        """
+        size = -1 if size is None else size
+        line = super().readline(size)
+        if not line.endswith(b"\n") and not 0 <= size <= len(line):
+            raise BrokenOff("the connection ended within a line")
+        if self.has_chunks:
+            found = _CHUNK_LINE.fullmatch(line)
+            if found is None:
+                raise Malformed("a chunk begins without its size")
+            # The trailers follow the last chunk, of size 0.
+            self.has_chunks = int(found[1], 16) > 0
+        return line
+
+
+class Response(client.HTTPResponse):
+    """A response whose framing is complete and not contradictory."""
+
+    def __init__(self, sock: socket.socket, *arguments: Any, **named: Any):
+        super().__init__(sock, *arguments, **named)
+        self._lines = _Lines(self.fp.detach())
+        self.fp = self._lines
+
+    def begin(self) -> None:
+        """Reads the head of the final response, after any interim ones."""
+        super().begin()
+        while self.status < client.OK:
+            if self.status == client.SWITCHING_PROTOCOLS:
+                raise Malformed("the protocol was switched unasked")
+            self.headers = self.msg = None
+            super().begin()
+        parsed_responses.assert_header_parsing(self.headers)
+        check_framing(self.status, self.headers)
+        self._lines.has_chunks = self.chunked
+
+
+def check_framing(status: int, headers: client.HTTPMessage) -> None:
+    """Raises :class:`Malformed` if a head doesn't state one framing."""
+    lengths = headers.get_all("Content-Length", [])
+    codings = headers.get_all("Transfer-Encoding", [])
+    if codings and (lengths or codings[0].strip().lower() != "chunked"):
+        raise Malformed(f"the framing is {lengths} and {codings}")
+    if len(lengths) + len(codings) > 1:
+        raise Malformed(f"the framing is stated twice: {lengths}")
+    if lengths and not _LENGTH.fullmatch(lengths[0].strip()):
+        raise Malformed(f"{lengths[0][:40]!r} is no length")
+    has_body = codings or (lengths and int(lengths[0]) > 0)
+    if status == client.NO_CONTENT and has_body:
+        raise Malformed("a response without content has a body")
+
+
+def is_framed(response: Any) -> bool:
+    """Returns whether a response states the end of its body.
+
+    Otherwise the body lasts until the end of the connection, and one that was
+    broken off can't be told from a complete one.
+    """
+    return (
+        response.status == client.NO_CONTENT
+        or "Content-Length" in response.headers
+        or "Transfer-Encoding" in response.headers
+    )
