Report no known outcome for a cut answer to the operators' command line

What operators saw: the store's answer to a conditional write that broke off within its head was taken for the whole answer. A 412 of which no body came raised an error, a 404 was reported as "not found", a 200 as a failure to decode, although the write may have taken effect.

The command line has a client of its own, which the daemon's reader doesn't cover.

Change: a response that states neither a length nor chunks is no response, as the store states one of them always. Every cut of a head loses it or leaves a body that is too short, which the library notices.

--- a/packages/hemlockreel-ctl/hemlockreel_ctl/store.py
+++ b/packages/hemlockreel-ctl/hemlockreel_ctl/store.py
@@ -31,6 +31,9 @@
     urllib3.exceptions.LocationValueError,
 )
 
+# The store states the end of each response by one of these.
+_FRAMING = {"content-length", "transfer-encoding"}
+
 
 class Client:
     """Calls the store at ``address``, which is ``IP:PORT`` or a URL.
@@ -154,7 +157,7 @@
             read=read_timeout_s or self._read_timeout_s,
         )
         try:
-            return self._pool.request(
+            response = self._pool.request(
                 method,
                 self._base + path,
                 headers=headers,
@@ -164,6 +167,10 @@
             )
         except urllib3.exceptions.HTTPError as error:
             return self._to_failure(error)
+        if not _FRAMING & {name.lower() for name in response.headers}:
+            # The connection ended in the head, or where nobody can tell.
+            return results.NoResponse(f"{self._base} answered in part")
+        return response
 
     def _to_failure(
         self, error: urllib3.exceptions.HTTPError
