Cut answers of stand-ins in their head too

Nothing that tests or the soak cut was within a head, so neither could see that a cut head became an empty success: torn answers kept their whole head, and the soak's cut in the middle of one of their parts.

Change: the soak cuts half of its torn answers at some byte of their head, the others at any byte. The stand-in of replicas has the modes torn_head and interim; daemons and the client of replicas are tested with them, with plain requests and streams.

--- a/standins/hemlockreel_standins/platform_replica.py
+++ b/standins/hemlockreel_standins/platform_replica.py
@@ -220,6 +220,16 @@
         length = f"Content-Length: {len(self.body)}"
         yield self._head(arrival, length) + self.body[:-3]
 
+    def _answer_torn_head(self, arrival: Arrival) -> Iterable[bytes]:
+        """Ends in the head, after its signature and before its framing."""
+        yield self._head(arrival)[: -len(b"\r\n")]
+
+    def _answer_interim(self, arrival: Arrival) -> Iterable[bytes]:
+        """Sends two interim heads before the response."""
+        yield b"HTTP/1.1 100 Continue\r\n\r\n"
+        yield b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+        yield from self._answer_whole(arrival)
+
     def _answer_torn_chunk(self, arrival: Arrival) -> Iterable[bytes]:
         """Ends within a chunk of the body."""
         yield self._head(arrival, "Transfer-Encoding: chunked")
--- a/standins/hemlockreel_standins/soak/backends.py
+++ b/standins/hemlockreel_standins/soak/backends.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import json
+import random
 import threading
 import time
 from typing import Any
@@ -18,6 +19,7 @@
 PLAIN_SERVICE_TIME_S = 0.02
 RESERVATION_TTL_S = 2.0
 HANDLE_TTL_S = 0.5  # the value that the engine of the deployment declares
+TORN_HEAD_SHARE = 0.5  # of the truncated responses
 NOT_RUN_HEADERS = (("Hemlockreel-Not-Executed", "1"),)
 
 
@@ -233,8 +235,10 @@
     def _answer_own_torn(
         self, arrival: platform_replica.Arrival
     ) -> Iterable[bytes]:
-        """Truncates the response in the middle, within one of its parts."""
-        parts = list(self._answer_own(arrival))
-        middle = len(parts) // 2
-        yield from parts[:middle]
-        yield parts[middle][: len(parts[middle]) // 2]
+        """Truncates the response at some byte, of its head or its body."""
+        whole = b"".join(self._answer_own(arrival))
+        # The same request is cut at the same byte in each play of a seed.
+        cut = random.Random(arrival.headers["hemlockreel-request-id"])
+        in_head = cut.random() < TORN_HEAD_SHARE
+        end = whole.index(b"\r\n\r\n") if in_head else len(whole)
+        yield whole[: cut.randrange(end)]
--- a/tests/hemlockreel_platform/test_complaints.py
+++ b/tests/hemlockreel_platform/test_complaints.py
@@ -46,7 +46,10 @@
     assert site.decode.closed_early.wait(2.0)
 
 
-@pytest.mark.parametrize("mode", ["torn", "torn_chunk", "reset", "no_bytes"])
+# MIXED of issue 36: an answer that was cut in its head was an empty success.
+@pytest.mark.parametrize(
+    "mode", ["torn", "torn_head", "torn_chunk", "reset", "no_bytes"]
+)
 def test_an_answer_that_breaks_off_is_no_success(site, mode):
     site.plain.mode = mode
     for path in ("/lookups/1", "/deposits/1"):
@@ -54,6 +57,11 @@
         assert status >= 400
 
 
+def test_a_stream_that_breaks_off_in_its_head_is_no_success(site):
+    site.decode.mode = "torn_head"
+    assert send(site, "POST", "/drafts/1", MODEL)[0] >= 400
+
+
 def test_a_planned_stop_cuts_no_request_that_was_just_accepted(site):
     """Callers move elsewhere a moment after the host refuses the first."""
     daemon = site.daemons[0]
--- a/tests/hemlockreel_platform/test_replicas.py
+++ b/tests/hemlockreel_platform/test_replicas.py
@@ -56,7 +56,9 @@
     )
 
 
-@pytest.mark.parametrize("mode", ["whole", "chunked", "unframed", "extra"])
+@pytest.mark.parametrize(
+    "mode", ["whole", "chunked", "unframed", "extra", "interim"]
+)
 @pytest.mark.parametrize("status", [200, 404, 500])
 def test_response_is_read_in_each_framing(replica, mode, status):
     replica.mode, replica.status = mode, status
@@ -87,6 +89,7 @@
         ("unsigned", UNKNOWN),
         ("encoded", UNKNOWN),
         ("no_bytes", UNKNOWN),
+        ("torn_head", UNKNOWN),
         ("garbage", UNKNOWN),
         ("silent", UNKNOWN),
     ],
