Bound the memory and the time of responses without end

What callers saw: each response had limits of its own, but several at once filled a small host.

Cause: the limits were per response, parts were joined and copied again while they were written, an event was copied with each part that came, and the C library kept what was freed: it raises its threshold for mappings after the first large block, and each thread has a heap of its own. Lines of chunks and trailers were bounded by the size of a body, a million lines of a few bytes, whose time other requests waited for.

Change: all bodies and events that are read at the same time share a bound (responses.total_bytes, 8 MiB); beyond it the largest response is given up, and others go on only once its memory is free. A body is kept once and written in parts. The lines of chunks may have 64 KiB more than the body. The allocator's thresholds are fixed at the start.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/bounded_sockets.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/bounded_sockets.py
@@ -18,11 +18,15 @@
 
 
 class ResponseLimits(NamedTuple):
-    """The largest head, body and stream event of a response, in bytes."""
+    """The largest head, body and stream event of a response, in bytes.
+
+    ``total_bytes`` is for the bodies and events of all responses together.
+    """
 
     head_bytes: int = 64 * 1024
     body_bytes: int = 8 * 2**20
     event_bytes: int = 2**20
+    total_bytes: int = 8 * 2**20
 
 
 class ResponseTooLarge(OSError):
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/engine_client.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/engine_client.py
@@ -154,11 +154,15 @@
         try:
             size = http_calls.limits().event_bytes
             opened.sock.set_limits(idle_timeout_s, size)
-            with box.interrupting(opened.sock):
+            with (
+                box.interrupting(opened.sock),
+                http_calls.hold_memory(opened.sock) as holding,
+            ):
                 for chunk in opened.response.stream(
                     http_calls.READ_BYTES, decode_content=False
                 ):
                     *lines, rest = (rest + chunk).split(b"\n")
+                    holding.resize(len(rest))
                     if lines:
                         # Only a complete token ends the wait for the next.
                         opened.sock.set_limits(idle_timeout_s, size)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/event_stream.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/event_stream.py
@@ -6,6 +6,7 @@
 """
 
 SEPARATORS = (b"\n\n", b"\r\n\r\n")
+MAX_SEPARATOR_BYTES = 4
 
 
 class Splitter:
@@ -17,27 +18,27 @@
     >>> splitter = Splitter()
     >>> splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
     b'id: 1\\ndata: a\\n\\n'
-    >>> splitter.last_id, splitter.rest
+    >>> splitter.last_id, bytes(splitter.rest)
     ('1', b'id: 2\\nda')
     """
 
     def __init__(self, last_id: str = ""):
         self.last_id = last_id
-        self.rest = b""
+        self.rest = bytearray()
         self.count = 0
 
     def feed(self, data: bytes) -> bytes:
         """Returns the bytes of all events that ``data`` completes."""
+        # Only a separator that ends in ``data`` can be new.
+        begin = max(0, len(self.rest) - MAX_SEPARATOR_BYTES + 1)
         self.rest += data
-        end = max(
-            (
-                self.rest.rfind(separator) + len(separator)
-                for separator in SEPARATORS
-                if separator in self.rest
-            ),
-            default=0,
-        )
-        whole, self.rest = self.rest[:end], self.rest[end:]
+        end = 0
+        for separator in SEPARATORS:
+            found = self.rest.rfind(separator, begin)
+            if found >= 0:
+                end = max(end, found + len(separator))
+        whole = bytes(self.rest[:end])
+        del self.rest[:end]
         self.count += sum(whole.count(each) for each in SEPARATORS)
         for line in reversed(whole.splitlines()):
             if line.startswith(b"id:"):
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/exchanges.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/exchanges.py
@@ -23,6 +23,7 @@
 LISTEN_BACKLOG = 1024
 MIN_IDLE_THREADS = 8  # for requests until the next check
 THREADS_PER_GROWTH = 16  # threads added at a check
+PART_BYTES = 64 * 1024  # of a body that are written at once
 
 
 class Exchange:
@@ -64,8 +65,12 @@
         ]
         length = ("Content-Length", str(len(body)))
         sent = self.start(status, [*named, length])
-        if sent and body and self._request.method != b"HEAD":
-            return self.send(body)
+        if self._request.method == b"HEAD":
+            return sent
+        # The server copies what it has yet to write.
+        view = memoryview(body)
+        for begin in range(0, len(body), PART_BYTES):
+            sent = sent and self.send(view[begin : begin + PART_BYTES])
         return sent
 
     def start(self, status: int, headers: Iterable[tuple[str, str]]) -> bool:
@@ -82,7 +87,7 @@
         ]
         return self._write(request.ensure_headers_sent)
 
-    def send(self, data: bytes) -> bool:
+    def send(self, data: bytes | memoryview) -> bool:
         """Sends a part of the body; false if the caller has disconnected."""
         return self._write(lambda: self._request.write(data))
 
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/stream_forwarding.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/stream_forwarding.py
@@ -4,6 +4,7 @@
 
 from .. import clock
 from .. import http_calls
+from .. import response_memory
 from . import event_stream
 from . import interfaces
 from . import progress
@@ -36,7 +37,10 @@
                 return outcomes.may_have_run(
                     outcomes.Reason.BACKEND_FAILED, detail
                 )
-            return _forward_events(handler, record, head, splitter, software)
+            with http_calls.hold_memory(opened.sock) as holding:
+                return _forward_events(
+                    handler, record, head, splitter, software, holding
+                )
     except http_calls.CALL_ERRORS as error:
         failed = http_calls.to_failure(error)
         return request_handler.refusal_for(
@@ -56,6 +60,7 @@
     head: interfaces.ResponseHead,
     splitter: event_stream.Splitter,
     software: str,
+    holding: response_memory.Holding,
 ) -> outcomes.Refused | None:
     if not handler.exchange.has_started and not handler.exchange.start(
         head.status, head.headers
@@ -78,6 +83,7 @@
         if not data:
             break
         whole = splitter.feed(data)
+        holding.resize(len(splitter.rest))
         if whole:
             handler.begin_stream(software)
         if whole and record.note_event(clock.now()):
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/http_calls.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/http_calls.py
@@ -14,6 +14,7 @@
 from collections.abc import Mapping
 import contextlib
 from http import client
+import io
 import json
 import socket
 from typing import Any
@@ -28,6 +29,7 @@
 from . import json_documents
 from . import mailbox
 from . import response_framing
+from . import response_memory
 
 CONNECT_TIMEOUT_S = 1.0
 READ_BYTES = 64 * 1024
@@ -52,6 +54,7 @@
     """The limits of all responses of this process."""
 
     current = bounded_sockets.ResponseLimits()
+    memory = response_memory.Budget(current.total_bytes)
 
 
 def limits() -> bounded_sockets.ResponseLimits:
@@ -62,6 +65,12 @@
 def set_limits(found: bounded_sockets.ResponseLimits) -> None:
     """Sets the limits of the responses to later calls."""
     _Limits.current = found
+    _Limits.memory.limit = found.total_bytes
+
+
+def hold_memory(sock: socket.socket) -> response_memory.Holding:
+    """Returns the share of a response in the memory for all of them."""
+    return _Limits.memory.hold(sock)
 
 
 class _Connection(connection.HTTPConnection):
@@ -103,10 +112,14 @@
         """
         if (self.response.length_remaining or 0) > limits().body_bytes:
             raise bounded_sockets.ResponseTooLarge("the body is too long")
-        parts = []
-        while part := self.response.read1(READ_BYTES, decode_content=False):
-            parts.append(part)
-        return b"".join(parts)
+        # Its value shares the buffer; joined parts would take it twice.
+        with hold_memory(self.sock) as holding, io.BytesIO() as body:
+            while part := self.response.read1(
+                READ_BYTES, decode_content=False
+            ):
+                body.write(part)
+                holding.resize(body.tell())
+            return body.getvalue()
 
     def read_json(self) -> Any:
         """Returns the whole body as JSON; a stated empty one is an object.
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/main.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/main.py
@@ -6,7 +6,6 @@
 import os
 import signal
 import sys
-import threading
 import traceback
 from typing import NoReturn
 
@@ -17,6 +16,7 @@
 from . import http_calls
 from . import logs
 from . import operators
+from . import process_memory
 from . import servers
 from . import settings
 
@@ -24,7 +24,6 @@
 # Beyond ``max_in_flight``, so that requests over this limit are refused at
 # once instead of waiting for a thread.
 REFUSAL_THREADS = 16
-THREAD_STACK_BYTES = 256 * 1024
 REPORT_PERIOD_S = 0.1
 
 
@@ -63,7 +62,7 @@
         return 0
     logs.configure(loaded.log_level)
     http_calls.set_limits(loaded.responses.limits)
-    threading.stack_size(THREAD_STACK_BYTES)
+    process_memory.limit()
     return _serve(loaded)
 
 
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/response_framing.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/response_framing.py
@@ -19,6 +19,10 @@
 _LENGTH = re.compile(r"[0-9]{1,18}")
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;.*)?\r?\n", re.DOTALL)
 
+# What the lines of chunks may have more than the body: each line costs far
+# more time than its bytes, and other requests wait meanwhile.
+MAX_EXTRA_BYTES = 64 * 1024
+
 
 class BrokenOff(client.HTTPException):
     """The connection ended within a response."""
@@ -36,6 +40,8 @@
     """
 
     has_chunks = False
+    _in_trailers = False
+    _spare_bytes = MAX_EXTRA_BYTES
 
     def readline(self, size: int | None = -1) -> bytes:
         """Returns the next line, or the first ``size`` bytes of it.
@@ -47,12 +53,20 @@
         if not line.endswith(b"\n") and not 0 <= size <= len(line):
             raise BrokenOff("the connection ended within a line")
         if self.has_chunks:
+            self._check_chunk_line(line)
+        return line
+
+    def _check_chunk_line(self, line: bytes) -> None:
+        size = 0
+        if not self._in_trailers:
             found = _CHUNK_LINE.fullmatch(line)
             if found is None:
                 raise Malformed("a chunk begins without its size")
-            # The trailers follow the last chunk, of size 0.
-            self.has_chunks = int(found[1], 16) > 0
-        return line
+            size = int(found[1], 16)
+            self._in_trailers = size == 0
+        self._spare_bytes += size - len(line)
+        if self._spare_bytes < 0:
+            raise Malformed("the chunks are larger than what they hold")
 
 
 class Response(client.HTTPResponse):
--- /dev/null
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/response_memory.py
@@ -0,0 +1,113 @@
+"""Bounds the memory of all responses that a process reads at the same time.
+
+Each response has limits of its own, but several faulty servers, or one that
+many requests meet at once, can fill a small host with responses that are each
+within them. When all together exceed the limit, the largest one is given up,
+so that short responses are never lost for the sake of endless ones.
+"""
+
+import contextlib
+import socket
+import threading
+
+from . import bounded_sockets
+
+# A response up to this size isn't counted, which keeps the lock out of the way
+# of nearly all responses.
+FREE_BYTES = 16 * 1024
+RELEASE_TIMEOUT_S = 1.0  # for a thread to notice that its response has ended
+
+
+class Budget:
+    """The memory of all responses; ``limit`` is in bytes.
+
+    >>> budget = Budget(200_000)
+    >>> ours, theirs = socket.socketpair()
+    >>> with ours, theirs, budget.hold(ours) as small:
+    ...     with budget.hold(theirs) as large:
+    ...         small.resize(70_000)
+    ...         large.resize(150_000)
+    Traceback (most recent call last):
+        ...
+    hemlockreel_daemon.bounded_sockets.ResponseTooLarge: no room for 150000 ...
+    """
+
+    def __init__(self, limit: int):
+        self.limit = limit
+        self._changed = threading.Condition()
+        self._sizes: dict[Holding, int] = {}
+        self._given_up: set[Holding] = set()
+
+    @property
+    def total(self) -> int:
+        """The bytes of all responses that are counted."""
+        return sum(self._sizes.values())
+
+    def hold(self, sock: socket.socket) -> "Holding":
+        """Returns the share of a response that is read from ``sock``."""
+        return Holding(self, sock)
+
+    def grow(self, holding: "Holding", size: int) -> bool:
+        """Sets the size of a response; returns whether it may be read on.
+
+        Gives up the largest responses if there is too little room, and waits
+        until their threads have released them.
+        """
+        with self._changed:
+            self._sizes[holding] = size
+            while self.total - self._dying() > self.limit:
+                largest = max(
+                    self._sizes.keys() - self._given_up,
+                    key=self._sizes.__getitem__,
+                )
+                self._given_up.add(largest)
+                largest.end_reads()
+            self._changed.wait_for(
+                lambda: holding in self._given_up or self.total <= self.limit,
+                RELEASE_TIMEOUT_S,
+            )
+            return holding not in self._given_up
+
+    def release(self, holding: "Holding") -> None:
+        """Forgets a response."""
+        with self._changed:
+            self._sizes.pop(holding, None)
+            self._given_up.discard(holding)
+            self._changed.notify_all()
+
+    def _dying(self) -> int:
+        return sum(self._sizes[each] for each in self._given_up)
+
+
+class Holding:
+    """The memory of one response, as a context manager that releases it."""
+
+    def __init__(self, budget: Budget, sock: socket.socket):
+        self._budget = budget
+        self._sock = sock
+        self._is_counted = False
+
+    def __enter__(self) -> "Holding":
+        return self
+
+    def __exit__(self, *details: object) -> None:
+        if self._is_counted:
+            self._budget.release(self)
+
+    def resize(self, size: int) -> None:
+        """Notes that the response has ``size`` bytes in memory.
+
+        Raises :class:`bounded_sockets.ResponseTooLarge` if it is given up.
+        """
+        if size <= FREE_BYTES and not self._is_counted:
+            return
+        self._is_counted = True
+        if not self._budget.grow(self, size):
+            raise bounded_sockets.ResponseTooLarge(
+                f"no room for {size} bytes beside other responses"
+            )
+
+    def end_reads(self) -> None:
+        """Ends the wait of a thread for more bytes."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/settings.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/settings.py
@@ -14,6 +14,7 @@
 HeadBytes = Annotated[int, msgspec.Meta(ge=1024, le=2**20)]
 BodyBytes = Annotated[int, msgspec.Meta(ge=2**20, le=64 * 2**20)]
 EventBytes = Annotated[int, msgspec.Meta(ge=1024, le=16 * 2**20)]
+TotalBytes = Annotated[int, msgspec.Meta(ge=2**20, le=1024 * 2**20)]
 
 
 class SettingsError(Exception):
@@ -41,12 +42,16 @@
     head_bytes: HeadBytes = bounded_sockets.ResponseLimits().head_bytes
     body_bytes: BodyBytes = bounded_sockets.ResponseLimits().body_bytes
     event_bytes: EventBytes = bounded_sockets.ResponseLimits().event_bytes
+    total_bytes: TotalBytes = bounded_sockets.ResponseLimits().total_bytes
 
     @property
     def limits(self) -> bounded_sockets.ResponseLimits:
         """The limits as the HTTP calls take them."""
         return bounded_sockets.ResponseLimits(
-            self.head_bytes, self.body_bytes, self.event_bytes
+            self.head_bytes,
+            self.body_bytes,
+            self.event_bytes,
+            self.total_bytes,
         )
 
 
--- a/standins/hemlockreel_standins/platform_replica.py
+++ b/standins/hemlockreel_standins/platform_replica.py
@@ -268,6 +268,24 @@
         yield self._head(arrival)
         yield from self._answer_endless(arrival)
 
+    def _answer_endless_chunks(self, arrival: Arrival) -> Iterable[bytes]:
+        """Sends chunks of one byte until the caller closes."""
+        yield self._head(arrival, "Transfer-Encoding: chunked")
+        while True:
+            yield b"1\r\nx\r\n" * 4096
+
+    def _answer_endless_trailers(self, arrival: Arrival) -> Iterable[bytes]:
+        """Sends trailers until the caller closes."""
+        yield self._head(arrival, "Transfer-Encoding: chunked") + b"0\r\n"
+        while True:
+            yield b"X-A: 1\r\n" * 4096
+
+    def _answer_endless_event(self, arrival: Arrival) -> Iterable[bytes]:
+        """Begins a stream, then sends an event until the caller closes."""
+        yield from self._stream_events(arrival, 1)
+        while True:
+            yield encode_chunk(b"x" * 4096)
+
     def _answer_dribble(self, arrival: Arrival) -> Iterable[bytes]:
         """Sends a byte of a head now and then until the caller closes."""
         yield b"HTTP/1.1 200 OK\r\nX-A: "
