Answer every request before a planned stop ends

What callers saw: in a planned stop of a host, requests that came late in the grace were passed on and cut at its end without an answer, among them some that may not be repeated. With a grace of 4 s the process also took 4.07 s.

Cause: plain requests were taken until 0.7 of the grace, however long they could last, and at 0.95 of it the process ended with whatever was active. A share of a short grace leaves too little time for the exit itself.

Change: after the first part of the grace a request begins only if it can end in time; one that may not be repeated needs its whole time limit for that.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
@@ -1,7 +1,9 @@
 """A daemon that forwards requests by the routes of a deployment."""
 
 import contextlib
+import math
 import threading
+import time
 import traceback
 from typing import Any
 from typing import NamedTuple
@@ -41,6 +43,8 @@
 
 NOT_READY_RETRY_AFTER_S = 0.5  # for callers of a host that has just started
 COUNT_PERIOD_S = 0.1
+FINISH_S = 0.15  # for the last responses, which callers may read slowly
+FINISH_POLL_S = 0.005
 # Concurrent requests; each occupies a thread. The maximum takes some 10 MB and
 # lets a single host serve the streams of a small deployment.
 MIN_WORKERS = 24
@@ -81,6 +85,7 @@
     ):
         self.deployment: deployments.Deployment | None = None
         self.phase = graceful_shutdown.Phase()
+        self.gives_up_at = math.inf
         self.listed = False
         self.ready = False
         self._limited: frozenset[str] = frozenset()
@@ -106,6 +111,7 @@
         )
         self._tools = request_handler.Tools(self.daemon, backends, callers)
         self._active = 0
+        self._is_closed = False
         self._received_at = clock.now()
         self._lock = threading.Lock()
         self._server = exchanges.Server(
@@ -152,6 +158,20 @@
                 # Callers of other hosts wait for what the paths carry.
                 active = self._active + self._path_server.active
                 loop.post(events.CallersCounted(active, quiet_s))
+            if clock.now() >= self.gives_up_at:
+                self.daemon.mailboxes.stop_all(outcomes.Reason.DRAINING)
+        self._finish_responses()
+
+    def _finish_responses(self) -> None:
+        """Waits until the responses that have begun are written.
+
+        No further request is read, so that its caller knows that it has not
+        run: it is closed without a byte of a response.
+        """
+        self._is_closed = True
+        ends_at = clock.now() + FINISH_S
+        while self._active and clock.now() < ends_at:
+            time.sleep(FINISH_POLL_S)
 
     def _observe_replica(self, notice: interfaces.Notice) -> None:
         id, born = notice.id, notice.born
@@ -177,6 +197,7 @@
         for kind, reader in self._readers.items():
             reader.set_plan(store_fanout.read_plan(board, kind, now))
         self.phase = graceful_shutdown.phase(board, now)
+        self.gives_up_at = graceful_shutdown.gives_up_at(board)
         self._limited = replica_limits.limited(board)
         reach = board.state(reachability.State)
         self.connector.helped = reach.helped
@@ -203,6 +224,9 @@
 
     def respond(self, exchange: exchanges.Exchange) -> None:
         """Handles one request of a caller."""
+        if self._is_closed:
+            exchange.abort()
+            return
         with self._count_active():
             try:
                 self._respond(exchange)
@@ -303,17 +327,37 @@
         if service is None:
             reason = outcomes.Reason.NO_BACKEND
             return outcomes.not_run(reason, NOT_READY_RETRY_AFTER_S)
-        phase = self.phase
-        is_stream = route.kind is deployments.RouteKind.STREAM
-        if not phase.accepts_requests or (
-            is_stream and not phase.accepts_streams
-        ):
+        if not self._accepts(route, request, arrived):
             reason = outcomes.Reason.DRAINING
             return outcomes.not_run(reason, request_handler.RETRY_SOON_S)
         return request_handler.Job(
             request, route, service, found.version, arrived
         )
 
+    def _accepts(
+        self,
+        route: deployments.Route,
+        request: interfaces.CallerRequest,
+        arrived: float,
+    ) -> bool:
+        """Returns whether a request may begin, as far as a stop allows it.
+
+        In the first part of a stop all may; callers have just been told to
+        move, and most requests end long before their time limit.
+        """
+        phase = self.phase
+        if phase.accepts_streams:
+            return True
+        is_stream = route.kind is deployments.RouteKind.STREAM
+        if is_stream or not phase.accepts_requests:
+            return False
+        limit_s = route.timeout_s
+        if request.deadline_s is not None:
+            limit_s = min(limit_s, request.deadline_s)
+        return graceful_shutdown.can_finish(
+            route, limit_s, self.gives_up_at - arrived
+        )
+
     def _handle(
         self, exchange: exchanges.Exchange, job: request_handler.Job
     ) -> None:
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
@@ -62,8 +62,7 @@
             self._report_output()
         self._log_size()
         if self.box.stopped is not None:
-            self.outcome = self.box.stopped.reason.value
-            self.exchange.abort()
+            self.end_stopped(self.box.stopped.reason)
         elif refused is not None:
             self.refuse(refused)
         else:
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/plain_requests.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/plain_requests.py
@@ -40,8 +40,7 @@
         """Sends the request to replicas and returns the response."""
         result = self._attempt_all()
         if self.box.stopped is not None:
-            self.outcome = self.box.stopped.reason.value
-            self.exchange.abort()
+            self.end_stopped(self.box.stopped.reason)
         elif isinstance(result, Response):
             self.outcome = "answered"
             self.exchange.reply(result.status, result.headers, result.body)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
@@ -336,6 +336,17 @@
         )
         return self._receive(LOOP_TIMEOUT_S) is True
 
+    def end_stopped(self, reason: outcomes.Reason) -> None:
+        """Ends a request whose mailbox was stopped for ``reason``.
+
+        Its caller gets an answer if this host is what stops.
+        """
+        if reason is outcomes.Reason.DRAINING:
+            self.refuse(outcomes.not_run(reason, RETRY_SOON_S))
+            return
+        self.outcome = reason.value
+        self.exchange.abort()
+
     def refuse(self, refused: outcomes.Refused) -> None:
         """Sends a refusal, or aborts a response that has started."""
         self.outcome = refused.reason.value
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/mailbox.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/mailbox.py
@@ -88,6 +88,11 @@
         """Removes the mailbox; later values for it are dropped."""
         self._boxes.pop(request_id, None)
 
+    def stop_all(self, reason: outcomes.Reason) -> None:
+        """Makes the workers of all requests abandon them."""
+        for box in list(self._boxes.values()):
+            box.stop(reason)
+
     def deliver(self, request_id: str, value: Any) -> bool:
         """Puts ``value`` into a mailbox; returns false if there is none.
 
--- a/packages/hemlockreel/tests/forwarding/test_graceful_shutdown.py
+++ b/packages/hemlockreel/tests/forwarding/test_graceful_shutdown.py
@@ -1,5 +1,7 @@
 """Hosts that are stopped and started in turn under load."""
 
+import math
+
 import pytest
 
 from hemlockreel import actions
@@ -7,6 +9,7 @@
 from hemlockreel import membership
 from hemlockreel_standins import stage_rig
 
+from hemlockreel.forwarding import deployments
 from hemlockreel.forwarding import graceful_shutdown
 
 
@@ -71,3 +74,31 @@
     holder.now = 3.0
     holder.post(events.DrainRequested())
     assert not phase_at(holder, 6.0).accepts_requests
+
+
+def test_requests_are_given_up_in_time_for_an_answer(holder):
+    board = holder.board
+    assert graceful_shutdown.gives_up_at(stage_rig.Holder().board) == math.inf
+    exits_at = 8.0 - graceful_shutdown.EXIT_S
+    assert graceful_shutdown.gives_up_at(board) < exits_at - 0.3
+
+
+@pytest.mark.parametrize(
+    "kind, limit_s, left_s, can_finish",
+    [
+        ("non_idempotent", 1.0, 1.1, True),
+        ("non_idempotent", 14.0, 4.0, False),
+        ("idempotent", 14.0, 4.0, True),
+        ("idempotent", 14.0, 3.0, False),
+        ("idempotent", 1.0, 1.1, True),
+    ],
+)
+def test_requests_that_could_not_finish_do_not_begin(
+    kind, limit_s, left_s, can_finish
+):
+    route = deployments.Route(
+        name="r", host="h", prefix="/", kind=deployments.RouteKind(kind),
+        shares=(), timeout_s=14.0, objective_s=0.9,
+    )  # fmt: skip
+    found = graceful_shutdown.can_finish(route, limit_s, left_s)
+    assert found is can_finish
--- a/standins/hemlockreel_standins/platform_replica.py
+++ b/standins/hemlockreel_standins/platform_replica.py
@@ -40,7 +40,8 @@
     ``mode`` selects the response to the following requests: ``whole`` is the
     correct one, and each mode has a method named ``_answer_<mode>``.
     ``status`` and ``body`` are the content of the response, ``event_gap_s`` is
-    the time between the events of a stream. ``stage`` is the serving stage of
+    the time between the events of a stream, ``work_s`` the time of a slow
+    response. ``stage`` is the serving stage of
     an engine, ``None`` for a plain service; ``memory`` is the number of tokens
     for which an engine has free memory. ``extra_headers`` are added to all
     responses. ``closed_early`` is set when a
@@ -56,6 +57,7 @@
         self.status = 200
         self.body = b"the answer"
         self.event_gap_s = 0.01
+        self.work_s = 1.0
         self.memory = 100_000
         self.orders = 0
         self.extra_headers: tuple[tuple[str, str], ...] = ()
@@ -199,6 +201,11 @@
         length = f"Content-Length: {len(self.body)}"
         yield self._head(arrival, length) + self.body
 
+    def _answer_slow(self, arrival: Arrival) -> Iterable[bytes]:
+        """Sends the correct response after some work."""
+        time.sleep(self.work_s)
+        yield from self._answer_whole(arrival)
+
     def _answer_chunked(self, arrival: Arrival) -> Iterable[bytes]:
         """Sends the body in chunks of four bytes."""
         yield self._head(arrival, "Transfer-Encoding: chunked")
