Let only later events follow in a stream that has begun

What callers saw: a stream that broke off went on at another replica with whatever that one sent: the text of an error with status 200, another type, the head of a second response, events that the caller had or that left some out. A run that ended at once without any framing made the stream look complete.

Cause: a status other than 200 and a refusal of our own ended the stream visibly, but of a 200 all bytes that ended with an empty line were passed on as events.

Change: within a stream that has begun, a run must have the same media type, and its first event an id that follows the last one: one more if the ids number the events so far, a larger one otherwise. In an unframed response no other response may follow, and one without an event is broken off. What is refused there is no part of the stream, so that another replica or the caller itself can go on after the last event that was sent.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/event_stream.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/event_stream.py
@@ -45,3 +45,7 @@
                 self.last_id = line[3:].strip().decode("latin-1")
                 break
         return whole
+
+    def take_back(self, last_id: str, count: int) -> None:
+        """Forgets events that were completed but not forwarded."""
+        self.last_id, self.count = last_id, count
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/progress.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/progress.py
@@ -18,13 +18,18 @@
     ``was_prefilled`` is set once a prefill replica has processed the prompt,
     ``decode_prefills`` if the decode replica does the prefill from now on.
 
+    ``media_type`` is that of the response that the caller gets, ``None`` until
+    it has begun.
+
     ``prefill_result`` is a result of ``prefill_instance``, received at
     ``prefill_result_at``, that no decode replica has fetched yet.
     """
 
     def __init__(self, last_id: str):
+        self._first_id = last_id or "0"
         self.last_event_id = last_id
         self.events = 0
+        self.media_type: str | None = None
         self.first_event_at: float | None = None
         self.longest_pause_s = 0.0
         self._last_event_at = 0.0
@@ -38,6 +43,17 @@
         self.prefill_result_at = 0.0
         self.prefill_instance: instances.Instance | None = None
 
+    @property
+    def counts_events(self) -> bool:
+        """Whether the ids of the events sent so far number them."""
+        first, last = self._first_id, self.last_event_id
+        return (
+            self.events > 0
+            and first.isdecimal()
+            and last.isdecimal()
+            and int(last) - int(first) == self.events
+        )
+
     def begin_run(self) -> None:
         """Notes that the request is about to be sent to a replica."""
         self._run_first_event_at = None
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/stream_forwarding.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/stream_forwarding.py
@@ -5,6 +5,7 @@
 from .. import clock
 from .. import http_calls
 from .. import response_memory
+from . import continuations
 from . import event_stream
 from . import interfaces
 from . import progress
@@ -33,10 +34,7 @@
                 if not handler.exchange.has_started:
                     handler.exchange.reply(head.status, head.headers, body)
                     return None
-                detail = f"status {head.status} to a resumed stream"
-                return outcomes.may_have_run(
-                    outcomes.Reason.BACKEND_FAILED, detail
-                )
+                return _broken(f"status {head.status} to a resumed stream")
             with http_calls.hold_memory(opened.sock) as holding:
                 return _forward_events(
                     handler, record, head, splitter, software, holding
@@ -62,10 +60,12 @@
     software: str,
     holding: response_memory.Holding,
 ) -> outcomes.Refused | None:
-    if not handler.exchange.has_started and not handler.exchange.start(
-        head.status, head.headers
-    ):
-        return _note_caller_gone(handler)
+    refused = _begin(handler, record, head)
+    if refused is not None:
+        return refused
+    continuation = continuations.Continuation(
+        record.last_event_id, record.counts_events, head.framed
+    )
     while True:
         left_s = handler.left_s()
         if left_s <= 0:
@@ -81,28 +81,73 @@
         if handler.box.stopped is not None:
             return outcomes.may_have_run(handler.box.stopped.reason)
         if not data:
-            break
+            return _check_end(head, splitter)
+        before = splitter.last_id, splitter.count
         whole = splitter.feed(data)
         holding.resize(len(splitter.rest))
+        fault = continuation.find_fault(whole)
+        if fault:
+            splitter.take_back(*before)
+            return _broken(fault)
         if whole:
-            handler.begin_stream(software)
-        if whole and record.note_event(clock.now()):
-            first_s = record.first_event_at - handler.job.arrived
-            handler.tools.daemon.metrics.first_token.observe(first_s)
+            _note_events(handler, record, software)
         if len(splitter.rest) > event_bytes:
-            detail = f"an event has more than {event_bytes} bytes"
-            return outcomes.may_have_run(
-                outcomes.Reason.BACKEND_FAILED, detail
-            )
+            return _broken(f"an event has more than {event_bytes} bytes")
         if whole and not handler.exchange.send(whole):
             return _note_caller_gone(handler)
+
+
+def _begin(
+    handler: request_handler.RequestHandler,
+    record: progress.Progress,
+    head: interfaces.ResponseHead,
+) -> outcomes.Refused | None:
+    """Starts the caller's response, or checks that ``head`` fits into it."""
+    media_type = _media_type(head)
+    if handler.exchange.has_started:
+        if media_type != record.media_type:
+            return _broken(f"{media_type!r} follows in the stream")
+        return None
+    record.media_type = media_type
+    if not handler.exchange.start(head.status, head.headers):
+        return _note_caller_gone(handler)
+    return None
+
+
+def _note_events(
+    handler: request_handler.RequestHandler,
+    record: progress.Progress,
+    software: str,
+) -> None:
+    handler.begin_stream(software)
+    if record.note_event(clock.now()):
+        first_s = record.first_event_at - handler.job.arrived
+        handler.tools.daemon.metrics.first_token.observe(first_s)
+
+
+def _check_end(
+    head: interfaces.ResponseHead, splitter: event_stream.Splitter
+) -> outcomes.Refused | None:
+    """Returns why a run that has ended is not complete."""
     if splitter.rest:
-        return outcomes.may_have_run(
-            outcomes.Reason.BACKEND_FAILED, "the stream ended in an event"
-        )
+        return _broken("the stream ended in an event")
+    if not head.framed and not splitter.count:
+        return _broken("the stream ended before its first event")
     return None
 
 
+def _broken(detail: str) -> outcomes.Refused:
+    return outcomes.may_have_run(outcomes.Reason.BACKEND_FAILED, detail)
+
+
+def _media_type(head: interfaces.ResponseHead) -> str:
+    """Returns the type of a response without its parameters."""
+    for name, value in head.headers:
+        if name.lower() == "content-type":
+            return value.partition(";")[0].strip().lower()
+    return ""
+
+
 def _note_caller_gone(
     handler: request_handler.RequestHandler,
 ) -> outcomes.Refused:
