Reset the connection of an aborted response without chunks

What callers saw: a stream to a caller of HTTP/1.0 has neither a length nor chunks, so a stream that was cut ended like a complete one. A response of our own after a stream had begun would have been written into it.

Cause: an aborted response was shut down in order, which only a length or a missing last chunk tells from its end; and nothing below the handlers kept a second response out of one that had begun.

Change: an aborted response that doesn't state its end is reset. A reply to an exchange whose response has begun aborts it.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/exchanges.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/exchanges.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from http import client
 import socket
+import struct
 import threading
 
 from cheroot import server as cheroot
@@ -24,6 +25,7 @@
 MIN_IDLE_THREADS = 8  # for requests until the next check
 THREADS_PER_GROWTH = 16  # threads added at a check
 PART_BYTES = 64 * 1024  # of a body that are written at once
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # linger for no time
 
 
 class Exchange:
@@ -31,6 +33,7 @@
 
     def __init__(self, request: cheroot.HTTPRequest):
         self._request = request
+        self._is_aborted = False
 
     @property
     def caller(self) -> socket.socket:
@@ -59,7 +62,14 @@
     def reply(
         self, status: int, headers: Iterable[tuple[str, str]], body: bytes
     ) -> bool:
-        """Sends a complete response; false if the caller has disconnected."""
+        """Sends a complete response; false if the caller has disconnected.
+
+        One that has begun is aborted, as the caller would take the second for
+        a part of it.
+        """
+        if self.has_started:
+            self.abort()
+            return False
         named = [
             each for each in headers if each[0].lower() != "content-length"
         ]
@@ -112,14 +122,40 @@
 
     def abort(self) -> None:
         """Cuts the connection, so that the response can't look complete."""
-        self._request.chunked_write = False
-        self._request.close_connection = True
-        self._request.sent_headers = True
-        caller_sockets.abort(self.caller)
+        if self._is_aborted:
+            return
+        self._is_aborted = True
+        request = self._request
+        if self.has_started and not _states_end(request):
+            # Callers of HTTP/1.0 take the end of the connection for that of
+            # the response, unless it is reset.
+            request.conn.is_reset = True
+        else:
+            caller_sockets.abort(self.caller)
+        request.chunked_write = False
+        request.close_connection = True
+        request.sent_headers = True
+
+
+def _states_end(request: cheroot.HTTPRequest) -> bool:
+    """Returns whether the response that was started states where it ends."""
+    names = {name.lower() for name, _ in request.outheaders}
+    return request.chunked_write or b"content-length" in names
 
 
 class _Connection(cheroot.HTTPConnection):
+    """A connection that is reset when it is closed if ``is_reset`` is set."""
+
     RequestHandlerClass = servers.RecordingRequest
+    is_reset = False
+
+    def _close_kernel_socket(self) -> None:
+        if not self.is_reset:
+            super()._close_kernel_socket()
+            return
+        self.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+        )
 
 
 class Server:
--- a/packages/hemlockreel-daemon/tests/forwarding/test_exchanges.py
+++ b/packages/hemlockreel-daemon/tests/forwarding/test_exchanges.py
@@ -1,5 +1,6 @@
 """The listener under many concurrent streams and all kinds of requests."""
 
+import socket
 import threading
 import time
 
@@ -104,3 +105,38 @@
     link.request("GET", "/")
     with pytest.raises(Exception, match="IncompleteRead"):
         link.getresponse().read()
+
+
+def read_raw(address, version):
+    """Returns the raw response, and whether its connection was reset."""
+    host, _, port = address.rpartition(":")
+    received = b""
+    with socket.create_connection((host, int(port)), 5.0) as link:
+        link.sendall(b"GET / HTTP/%b\r\nHost: a\r\n\r\n" % version)
+        try:
+            while part := link.recv(65536):
+                received += part
+        except ConnectionResetError:
+            return received, True
+    return received, False
+
+
+# MIXED and ORDER of issue 36: what ends early must not look complete.
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+def test_response_that_is_aborted_does_not_look_complete(start, version):
+    sent = threading.Event()
+
+    def handle(exchange):
+        exchange.start(200, (("Content-Type", "text/event-stream"),))
+        exchange.send(b"id: 1\n\n")
+        sent.wait(5.0)
+        assert not exchange.reply(502, (), b"an error")
+        exchange.abort()
+
+    _, address = start(handle)
+    threading.Timer(0.2, sent.set).start()
+    received, was_reset = read_raw(address, version)
+    assert received.count(b"id: 1\n\n") == 1
+    assert b"error" not in received
+    assert b"\r\n0\r\n\r\n" not in received
+    assert was_reset or b"Transfer-Encoding: chunked" in received
