Refuse requests whose body ends early

What callers saw: a client left within a body of known length, and a replica ran the part that had arrived as a whole request, a booking too. A size of a chunk that was cut, "0" of "0a", ended a chunked body in the same way.

Change: Exchange.read_body returns a body only if its length has come, or the empty line after its last chunk; the forwarder answers 400 otherwise and closes the connection. As the end of a chunked body is now read, the next request on its connection begins where it should.

The product's own interface (/v1) checked the length already; a cut size of a chunk isn't noticed there.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/exchanges.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/exchanges.py
@@ -55,9 +55,25 @@
             self._request.conn.remote_addr or "",
         )
 
-    def read_body(self) -> bytes:
-        """Returns the complete body, whether chunked or of a given length."""
-        return self._request.rfile.read()
+    def read_body(self) -> bytes | None:
+        """Returns the complete body, whether chunked or of a given length.
+
+        Returns ``None`` if the connection ended within it, or if its chunks
+        are malformed.
+        """
+        rfile = self._request.rfile
+        try:
+            body = rfile.read()
+            if self._request.chunked_read:
+                # Up to the empty line, without which the last chunk may be
+                # the beginning of a larger one.
+                for _ in rfile.read_trailer_lines():
+                    pass
+            elif rfile.remaining:
+                return None
+        except ValueError:
+            return None
+        return body
 
     def reply(
         self, status: int, headers: Iterable[tuple[str, str]], body: bytes
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
@@ -43,6 +43,9 @@
 
 NOT_READY_RETRY_AFTER_S = 0.5  # for callers of a host that has just started
 COUNT_PERIOD_S = 0.1
+INCOMPLETE = interfaces.InvalidRequest(
+    400, "the body is not what the head of the request states"
+)
 FINISH_S = 0.15  # for the last responses, which callers may read slowly
 FINISH_POLL_S = 0.005
 # Concurrent requests; each occupies a thread. The maximum takes some 10 MB and
@@ -250,8 +253,11 @@
 
     def _respond(self, exchange: exchanges.Exchange) -> None:
         arrived = clock.now()
-        head = exchange.head()
-        request = self._tools.callers.decode(head, exchange.read_body())
+        head, body = exchange.head(), exchange.read_body()
+        if body is None:
+            self._refuse_invalid(exchange, INCOMPLETE)
+            return
+        request = self._tools.callers.decode(head, body)
         if self.phase.stopping:
             exchange.close_after_response()
         if isinstance(request, interfaces.InvalidRequest):
