Write an object anew that a restored store has lost

What callers saw: in a drill the store came back without an object of ours; the write on it was answered 404, and a KeyError in the core ended the process and the requests that it carried.

Cause: take_response took 404 for an answer to a read only, and each other answer for one that holds the object.

Change: a write that is answered with 404, or in a form that isn't known, is one whose effect is unknown: the object is read again, and created if it isn't there. An object without a whole number as its version is none.

--- a/packages/hemlockreel/hemlockreel/forwarding/region_records.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/region_records.py
@@ -95,18 +95,31 @@
         is_write = self.pending.startswith(f"{self.kind}/PUT")
         self.pending = ""
         self.next_call_at = now + self.period_s
-        if event.status not in (*OK, NOT_FOUND):
-            # A write without a response may have been made.
+        if event.status == NOT_FOUND and not is_write:
+            self.era = event.era or store_era.current(board)
+            self.version, self.saved = 0, frozenset()
+            return {}
+        found = _decode(event)
+        if found is None:
+            # A write without a response may have been made, and one of an
+            # object that a restored store has lost is made after a read.
             self.era = None if is_write else self.era
             return None
         self.era = event.era or store_era.current(board)
+        self.version, value = found
         if is_write:
-            self.version = event.body["object"]["version"]
             self.saved = self.writing
             return None
-        if event.status == NOT_FOUND:
-            self.version, self.saved = 0, frozenset()
-            return {}
-        self.version = event.body["object"]["version"]
-        found = event.body["object"]["value"]
-        return found if isinstance(found, dict) else {}
+        return value if isinstance(value, dict) else {}
+
+
+def _decode(event: events.StoreResponded) -> tuple[int, Any] | None:
+    """Returns version and value of the object, ``None`` if there is none."""
+    if event.status not in OK:
+        return None
+    found = event.body.get("object")
+    if not isinstance(found, dict) or not isinstance(
+        found.get("version"), int
+    ):
+        return None
+    return found["version"], found.get("value")
