Name the part of a response in which its connection ended

What operators saw: run_broken told of a lost connection, but not whether the head, the chunks or the trailers of a response were cut, which the case of cut heads would have shown at once.

Change: the reader of lines knows which part it reads and names it.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/response_framing.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/response_framing.py
@@ -23,6 +23,8 @@
 # more time than its bytes, and other requests wait meanwhile.
 MAX_EXTRA_BYTES = 64 * 1024
 
+HEAD, CHUNKS, TRAILERS = "head", "chunks", "trailers"
+
 
 class BrokenOff(client.HTTPException):
     """The connection ended within a response."""
@@ -33,14 +35,13 @@
 
 
 class _Lines(io.BufferedReader):
-    """Reads lines that are complete; the lines of chunks if ``has_chunks``.
+    """Reads lines that are complete, of the ``part`` of a response.
 
     It is the only reader of lines of a response: of its head, of the sizes of
     its chunks and of the trailers.
     """
 
-    has_chunks = False
-    _in_trailers = False
+    part = HEAD
     _spare_bytes = MAX_EXTRA_BYTES
 
     def readline(self, size: int | None = -1) -> bytes:
@@ -51,19 +52,19 @@
         size = -1 if size is None else size
         line = super().readline(size)
         if not line.endswith(b"\n") and not 0 <= size <= len(line):
-            raise BrokenOff("the connection ended within a line")
-        if self.has_chunks:
+            raise BrokenOff(f"the connection ended within the {self.part}")
+        if self.part != HEAD:
             self._check_chunk_line(line)
         return line
 
     def _check_chunk_line(self, line: bytes) -> None:
         size = 0
-        if not self._in_trailers:
+        if self.part == CHUNKS:
             found = _CHUNK_LINE.fullmatch(line)
             if found is None:
                 raise Malformed("a chunk begins without its size")
             size = int(found[1], 16)
-            self._in_trailers = size == 0
+            self.part = CHUNKS if size else TRAILERS
         self._spare_bytes += size - len(line)
         if self._spare_bytes < 0:
             raise Malformed("the chunks are larger than what they hold")
@@ -87,7 +88,8 @@
             super().begin()
         parsed_responses.assert_header_parsing(self.headers)
         check_framing(self.status, self.headers)
-        self._lines.has_chunks = self.chunked
+        if self.chunked:
+            self._lines.part = CHUNKS
 
 
 def check_framing(status: int, headers: client.HTTPMessage) -> None:
--- a/packages/hemlockreel-daemon/tests/test_response_framing.py
+++ b/packages/hemlockreel-daemon/tests/test_response_framing.py
@@ -134,3 +134,17 @@
     for found in (first, second):
         assert isinstance(found, http_calls.CallFailed) is not is_empty
         assert not is_empty or found[1] == {}
+
+
+@pytest.mark.parametrize(
+    "part, data",
+    [
+        ("head", HEAD[:-1]),
+        ("head", HEAD),
+        ("chunks", HEAD + CHUNKED + b"1"),
+        ("trailers", HEAD + CHUNKED + b"0\r\n"),
+    ],
+)
+def test_failure_names_the_part_that_was_cut(part, data):
+    failed = read(Server((data, "close")))
+    assert f"the connection ended within the {part}" in failed.detail
