Tell an end of our own from the end of a response

Change: a bounded socket that this process has shut down raises instead of returning the end. That covers bodies, streams and paths.

Evidence: test_reads_that_this_process_ends_are_no_end_of_a_response failed on (a body of five bytes was returned) and passes now.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/bounded_sockets.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/bounded_sockets.py
@@ -33,10 +33,16 @@
     """A response has more bytes than its limit."""
 
 
+class ReadsEnded(OSError):
+    """This process has ended the reads of a response."""
+
+
 class BoundedSocket(socket.socket):
     """A connected socket whose reads have a common deadline and size.
 
-    ``via`` is the host that carries its bytes, empty for none.
+    ``via`` is the host that carries its bytes, empty for none. Reads after
+    :meth:`shutdown` raise :class:`ReadsEnded`, as their end would otherwise be
+    that of a response which lasts until its connection ends.
     """
 
     via = ""
@@ -52,6 +58,12 @@
         self.settimeout(timeout_s)
         self._ends_at = math.inf
         self._left_bytes = math.inf
+        self._is_shut = False
+
+    def shutdown(self, how: int) -> None:
+        """Ends the use of the connection, also for a thread that reads."""
+        self._is_shut = True
+        super().shutdown(how)
 
     def set_limits(self, seconds: float, size: float) -> None:
         """Limits all further reads to ``seconds`` and ``size`` bytes."""
@@ -72,6 +84,8 @@
         if timeout_s is None or left_s < timeout_s - DEADLINE_SLACK_S:
             self.settimeout(left_s if left_s < math.inf else None)
         count = super().recv_into(*arguments)
+        if self._is_shut:
+            raise ReadsEnded("the response was given up")
         self._left_bytes -= count
         if self._left_bytes < 0:
             raise ResponseTooLarge("the response is too large")
--- a/packages/hemlockreel-daemon/tests/test_response_framing.py
+++ b/packages/hemlockreel-daemon/tests/test_response_framing.py
@@ -148,3 +148,23 @@
 def test_failure_names_the_part_that_was_cut(part, data):
     failed = read(Server((data, "close")))
     assert f"the connection ended within the {part}" in failed.detail
+
+
+def test_reads_that_this_process_ends_are_no_end_of_a_response():
+    """The body lasts until the end of the connection, which is ours here."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+
+        def answer():
+            sock, _ = listener.accept()
+            sock.recv(65536)
+            sock.sendall(HEAD + b"\r\nhello")
+            sock.recv(1)  # until the other side has closed
+            sock.close()
+
+        threading.Thread(target=answer, daemon=True).start()
+        opened = http_calls.open_call(address, "GET", "/", timeout_s=5.0)
+        threading.Timer(0.2, opened.sock.shutdown, (socket.SHUT_RDWR,)).start()
+        with pytest.raises(http_calls.CALL_ERRORS):
+            opened.read_body()
+        opened.close()
