Send answers that are ready when a host gives requests up

One that couldn't be sent to the first replica was still offered to the next.

Cause: the handlers looked at the stop before the result.

Change: what is complete is sent, unless the caller itself has left. No further attempt begins once a request is stopped.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
@@ -58,15 +58,16 @@
             refused = self._run()
         finally:
             remote_prefill.free_result(self, self._record)
-        if refused is None and self.box.stopped is None:
+        is_complete = refused is None and not self.caller_has_left
+        if is_complete:
             self._report_output()
         self._log_size()
-        if self.box.stopped is not None:
+        if is_complete:
+            self.outcome = "answered"
+        elif self.box.stopped is not None:
             self.end_stopped(self.box.stopped.reason)
-        elif refused is not None:
-            self.refuse(refused)
         else:
-            self.outcome = "answered"
+            self.refuse(refused)
 
     def _report_output(self) -> None:
         """Reports the length of a complete response to the loop."""
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/plain_requests.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/plain_requests.py
@@ -39,11 +39,11 @@
     def run(self) -> None:
         """Sends the request to replicas and returns the response."""
         result = self._attempt_all()
-        if self.box.stopped is not None:
-            self.end_stopped(self.box.stopped.reason)
-        elif isinstance(result, Response):
+        if isinstance(result, Response) and not self.caller_has_left:
             self.outcome = "answered"
             self.exchange.reply(result.status, result.headers, result.body)
+        elif self.box.stopped is not None:
+            self.end_stopped(self.box.stopped.reason)
         else:
             self.refuse(result)
 
@@ -127,6 +127,8 @@
         A request that was not sent doesn't count as an attempt, so the next
         replica may get it.
         """
+        if self.box.stopped is not None:
+            return outcomes.not_run(self.box.stopped.reason)
         route = self.job.route
         left_s = self.left_s()
         if left_s <= MIN_ATTEMPT_S:
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
@@ -126,6 +126,18 @@
         self.outcome = "failed"
         self._permits_asked = 0
 
+    @property
+    def caller_has_left(self) -> bool:
+        """Whether the request was stopped, and not by a stop of this host.
+
+        What is ready is still sent while this host stops.
+        """
+        stopped = self.box.stopped
+        return (
+            stopped is not None
+            and stopped.reason is not outcomes.Reason.DRAINING
+        )
+
     def post(self, event: Any) -> None:
         """Posts an event to the loop."""
         self.tools.daemon.loop.post(event)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/stream_forwarding.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/stream_forwarding.py
@@ -78,10 +78,10 @@
         data = head.opened.response.read1(
             http_calls.READ_BYTES, decode_content=False
         )
-        if handler.box.stopped is not None:
-            return outcomes.may_have_run(handler.box.stopped.reason)
         if not data:
             return _check_end(head, splitter)
+        if handler.box.stopped is not None:
+            return outcomes.may_have_run(handler.box.stopped.reason)
         before = splitter.last_id, splitter.count
         whole = splitter.feed(data)
         holding.resize(len(splitter.rest))
