Expect a reset also while a connection is opened

The link accepts and resets at once, and the reset had arrived before connect returned, which is a reset of a new connection as the test asks for. The connect stood outside the block that expects a ConnectionError and stands in it now; a connection that lives on fails the test as before.

--- a/standins/tests/soak/test_link.py
+++ b/standins/tests/soak/test_link.py
@@ -84,7 +84,8 @@
         assert echo_byte(sock) == b"x"
         proxy.set(link.Mode.RESET)
         assert sock.recv(1) == b"" or pytest.fail("still open")
-    with connect(proxy) as sock, pytest.raises(ConnectionError):
+    # The reset may arrive while the connection is still being opened.
+    with pytest.raises(ConnectionError), connect(proxy) as sock:
         sock.sendall(b"x")
         assert sock.recv(1) == b""
         raise ConnectionResetError
