--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/continuations.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/continuations.py
@@ -1,8 +1,8 @@
 """Checks that the events of a run go on where the caller's stream is.
 
 A stream that broke off goes on at another replica. What that one sends becomes
-a part of a response that has begun, in which an error can't be told from an
-event any more, so anything that is no later event of the stream ends it.
+a part of a response that has begun, in which callers can't tell an error from
+an event, so anything but the events that follow breaks the stream off.
 """
 
 HEAD_START = b"HTTP/1."
@@ -23,7 +23,7 @@
         self._is_checked = not last_id
 
     def find_fault(self, events: bytes) -> str:
-        """Returns why the next events of the run are none, empty if not."""
+        """Returns why ``events`` can't follow, empty if they can."""
         if not self._is_framed and _holds_head(events):
             return "another response follows in the stream"
         if self._is_checked or not events:
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
@@ -43,7 +43,7 @@
 
 NOT_READY_RETRY_AFTER_S = 0.5  # for callers of a host that has just started
 COUNT_PERIOD_S = 0.1
-INCOMPLETE = interfaces.InvalidRequest(
+INCOMPLETE_BODY = interfaces.InvalidRequest(
     400, "the body is not what the head of the request states"
 )
 FINISH_S = 0.15  # for the last responses, which callers may read slowly
@@ -255,7 +255,7 @@
         arrived = clock.now()
         head, body = exchange.head(), exchange.read_body()
         if body is None:
-            self._refuse_invalid(exchange, INCOMPLETE)
+            self._refuse_invalid(exchange, INCOMPLETE_BODY)
             return
         request = self._tools.callers.decode(head, body)
         if self.phase.stopping:
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/http_calls.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/http_calls.py
@@ -69,7 +69,7 @@
 
 
 def hold_memory(sock: socket.socket) -> response_memory.Holding:
-    """Returns the share of a response in the memory for all of them."""
+    """Returns what accounts for the memory of a response from ``sock``."""
     return _Limits.memory.hold(sock)
 
 
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/process_memory.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/process_memory.py
@@ -1,4 +1,4 @@
-"""Keeps the memory of the process small; called once before it serves."""
+"""Settings of the process that keep its memory small."""
 
 import contextlib
 import ctypes
@@ -15,6 +15,8 @@
 def limit() -> None:
     """Limits thread stacks, and what the allocator keeps of freed memory.
 
+    It is called once, before the first thread is started.
+
     The GNU C library raises its threshold for mappings whenever a larger block
     is freed. After one large response, further ones come from the heaps of the
     threads, each of which keeps its size. A threshold that was set stays, and
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/response_framing.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/response_framing.py
@@ -19,8 +19,8 @@
 _LENGTH = re.compile(r"[0-9]{1,18}")
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;.*)?\r?\n", re.DOTALL)
 
-# What the lines of chunks may have more than the body: each line costs far
-# more time than its bytes, and other requests wait meanwhile.
+# By which sizes of chunks and trailers may exceed the body. Parsing a line
+# costs much more than copying its bytes, and other requests wait meanwhile.
 MAX_EXTRA_BYTES = 64 * 1024
 
 HEAD, CHUNKS, TRAILERS = "head", "chunks", "trailers"
@@ -67,7 +67,7 @@
             self.part = CHUNKS if size else TRAILERS
         self._spare_bytes += size - len(line)
         if self._spare_bytes < 0:
-            raise Malformed("the chunks are larger than what they hold")
+            raise Malformed("the framing of the chunks outgrows the body")
 
 
 class Response(client.HTTPResponse):
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/response_memory.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/response_memory.py
@@ -44,7 +44,7 @@
         return sum(self._sizes.values())
 
     def hold(self, sock: socket.socket) -> "Holding":
-        """Returns the share of a response that is read from ``sock``."""
+        """Returns what accounts for a response that is read from ``sock``."""
         return Holding(self, sock)
 
     def grow(self, holding: "Holding", size: int) -> bool:
@@ -55,7 +55,7 @@
         """
         with self._changed:
             self._sizes[holding] = size
-            while self.total - self._dying() > self.limit:
+            while self.total - self._given_up_size() > self.limit:
                 largest = max(
                     self._sizes.keys() - self._given_up,
                     key=self._sizes.__getitem__,
@@ -75,7 +75,7 @@
             self._given_up.discard(holding)
             self._changed.notify_all()
 
-    def _dying(self) -> int:
+    def _given_up_size(self) -> int:
         return sum(self._sizes[each] for each in self._given_up)
 
 
