Recognise organisations by their keys

Cause: keys were forwarded to replicas like any other header, and nobody checked them.

Change: the configuration has organisations with keys, priority and usage cap. A key is replaced by its digest while it is decoded, and compared in constant time; replicas get the name of the holder from this host, whatever the caller sent. An unknown key gets 401 unknown_key; open routes need none.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
@@ -19,6 +19,7 @@
 from hemlockreel.forwarding import deployments
 from hemlockreel.forwarding import graceful_shutdown
 from hemlockreel.forwarding import instances
+from hemlockreel.forwarding import organisations
 from hemlockreel.forwarding import reachability
 from hemlockreel.forwarding import replica_limits
 from hemlockreel.forwarding import replica_pauses
@@ -326,6 +327,17 @@
             return outcomes.not_run(
                 outcomes.Reason.UNKNOWN_ROUTE, detail=detail
             )
+        holder = None
+        if found.organisations and not route.is_open:
+            holder = organisations.find(
+                found.organisations, request.key_digest
+            )
+            if holder is None:
+                detail = f"version {found.version} has no such key"
+                return outcomes.not_run(
+                    outcomes.Reason.UNKNOWN_KEY, detail=detail
+                )
+            request = request._replace(organisation=holder.name)
         service = found.services.get(
             # A stream goes on at the service that began it.
             deployments.pick_service(route, request.resumes or request.id)
@@ -337,7 +349,7 @@
             reason = outcomes.Reason.DRAINING
             return outcomes.not_run(reason, request_handler.RETRY_SOON_S)
         return request_handler.Job(
-            request, route, service, found.version, arrived
+            request, route, service, found.version, arrived, holder
         )
 
     def _accepts(
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/interfaces.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/interfaces.py
@@ -61,7 +61,9 @@
     model. ``resume_after`` is the id of the last event that the caller has
     received. ``caller`` identifies who sent the request, as far as that can
     be told. ``resumes`` is the id of the request that brought the
-    first event of a stream that is resumed here.
+    first event of a stream that is resumed here. ``key_digest`` is the digest
+    of the caller's key, empty if it sent none, and ``organisation`` the name
+    of its holder, which replicas are told.
     """
 
     id: str
@@ -76,6 +78,8 @@
     resume_after: str
     caller: str = ""
     resumes: str = ""
+    key_digest: bytes = b""
+    organisation: str = ""
 
 
 class InvalidRequest(NamedTuple):
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
@@ -13,6 +13,7 @@
 from hemlockreel.forwarding import blocked_parts
 from hemlockreel.forwarding import deployments
 from hemlockreel.forwarding import instances
+from hemlockreel.forwarding import organisations
 from hemlockreel.forwarding import ranking
 from hemlockreel.forwarding import replica_limits
 from hemlockreel.forwarding import replica_selection
@@ -41,7 +42,9 @@
 
 NOT_RUN_STATUS = {
     outcomes.Reason.BAD_REQUEST: 400,
+    outcomes.Reason.UNKNOWN_KEY: 401,
     outcomes.Reason.UNKNOWN_ROUTE: 404,
+    outcomes.Reason.QUOTA: 429,
     outcomes.Reason.INTERNAL_ERROR: 500,
 }
 # Why a request is not sent to any replica more.
@@ -59,7 +62,8 @@
     """A caller's request with its route and service.
 
     ``version`` is the deployment version that the route comes from,
-    ``arrived`` the time at which the request was received.
+    ``arrived`` the time at which the request was received. ``organisation``
+    holds the caller's key, ``None`` if the route needs none.
     """
 
     request: interfaces.CallerRequest
@@ -67,6 +71,26 @@
     service: deployments.Service
     version: int
     arrived: float
+    organisation: organisations.Organisation | None = None
+
+    @property
+    def priority(self) -> int:
+        """The rank of the request, 0 for the first.
+
+        That of the organisation takes precedence over that of the route.
+        """
+        if self.organisation is None or self.organisation.priority is None:
+            return self.route.priority
+        return self.organisation.priority
+
+    @property
+    def cost(self) -> float:
+        """What the request counts towards the cap of its organisation."""
+        if self.organisation is None:
+            return 0.0
+        demand = self.request.demand
+        tokens = None if demand is None else demand.prompt + demand.max_output
+        return self.organisation.cap.cost(tokens)
 
 
 class Tools(NamedTuple):
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/responses.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/responses.py
@@ -15,6 +15,7 @@
 STATUS = {
     outcomes.Reason.BAD_REQUEST: 400,
     outcomes.Reason.INTERNAL_ERROR: 500,
+    outcomes.Reason.UNKNOWN_KEY: 401,
     outcomes.Reason.UNKNOWN_MODEL: 404,
     outcomes.Reason.UNKNOWN_ROUTE: 404,
     outcomes.Reason.PROMPT_TOO_LONG: 413,
--- a/packages/hemlockreel/hemlockreel/forwarding/deployments.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/deployments.py
@@ -10,6 +10,8 @@
 
 import xxhash
 
+from . import organisations as orgs
+
 
 class RouteKind(enum.Enum):
     """Whether and how requests of a route may be retried."""
@@ -34,7 +36,8 @@
     event. ``max_attempts`` is the number of replicas that one request may be
     sent to. A stream may run more than once only if it is ``resumable``: each
     run then continues after the last event of the previous one.
-    ``generates`` marks routes whose requests are for a model.
+    ``generates`` marks routes whose requests are for a model. ``is_open``
+    routes need no key.
     """
 
     name: str
@@ -48,6 +51,7 @@
     resumable: bool = False
     generates: bool = False
     priority: int = 5
+    is_open: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -90,12 +94,17 @@
 
 
 class Deployment(NamedTuple):
-    """One version of the configuration."""
+    """One version of the configuration.
+
+    If it has ``organisations``, requests need a key of one of them, except
+    those of open routes.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
     limits: Limits = Limits()
+    organisations: tuple[orgs.Organisation, ...] = ()
 
 
 def find_route(deployment: Deployment, host: str, path: str) -> Route | None:
--- a/packages/hemlockreel/hemlockreel/outcomes.py
+++ b/packages/hemlockreel/hemlockreel/outcomes.py
@@ -18,6 +18,7 @@
     BAD_REQUEST = "bad_request"
     UNKNOWN_MODEL = "unknown_model"
     UNKNOWN_ROUTE = "unknown_route"
+    UNKNOWN_KEY = "unknown_key"
     PROMPT_TOO_LONG = "prompt_too_long"
     KEY_REQUIRED = "idempotency_key_required"
     KEY_REUSED = "idempotency_key_reused"
