Load CherryPy on the platform when an operator first calls

Cause: memory at its peak is dear on a deployment of 128 small hosts, and CherryPy with what it imports took 7 MB of each, for the operators' listener that most hosts never serve. Ruled out: leaving out ssl (5 MB), which the metrics library imports itself.

Change: servers.py holds the listeners alone; applications.py makes the CherryPy application, on the platform at the first request. What both binaries share at their end and in their status stands in modules of its own.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/callers.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/callers.py
@@ -9,6 +9,7 @@
 from hemlockreel import addresses
 from hemlockreel import outcomes
 
+from . import applications
 from . import bodies
 from . import caller_sockets
 from . import completion_handler
@@ -93,7 +94,8 @@
 
     def _find_addresses(self) -> tuple[list[str], float]:
         caller = (
-            servers.request_query().get("caller") or cherrypy.request.remote.ip
+            applications.request_query().get("caller")
+            or cherrypy.request.remote.ip
         )
         return self._daemon.loop.query(
             lambda board: addresses.rank_for_caller(board, caller)
@@ -174,8 +176,8 @@
             request_id,
             route,
             request.method,
-            servers.request_target(),
-            servers.request_headers(),
+            applications.request_target(),
+            applications.request_headers(),
             body,
             request.headers.get(ORGANISATION_HEADER, ""),
             key,
@@ -200,7 +202,7 @@
         self._count("answered")
         response.status = outcome.status
         response.headers.pop("Content-Type", None)
-        servers.set_response_headers(outcome.headers)
+        applications.set_response_headers(outcome.headers)
         response.headers["X-Request-Id"] = request_id
         return outcome.body
 
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/status.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/status.py
@@ -13,7 +13,7 @@
 from hemlockreel.forwarding import replica_health
 
 from .. import clock
-from .. import operators
+from .. import member_status
 
 
 def is_ready(board: boards.Board) -> bool:
@@ -36,7 +36,7 @@
         "routes": len(found.routes) if found else 0,
         "controller": bool(leader.lease_time_left(board, now)),
         "blocked_parts": _describe_blocked(board, now),
-        "members": operators.describe_members(board),
+        "members": member_status.describe(board),
         "replicas": [
             _describe(board, each, now)
             for each in board.state(instances.State).instances.values()
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/main.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/main.py
@@ -1,21 +1,20 @@
 """The command line of `hemlockreeld`: starts, drains and ends the process."""
 
 import argparse
-from collections.abc import Callable
 from importlib import metadata
-import os
 import signal
 import sys
-import traceback
 from typing import NoReturn
 
 from hemlockreel import events
 
+from . import applications
 from . import callers
 from . import daemon as daemons
 from . import http_calls
 from . import logs
 from . import operators
+from . import process_exit
 from . import process_memory
 from . import servers
 from . import settings
@@ -75,11 +74,13 @@
     root = callers.Callers(daemon)
     listeners = [
         servers.Server(
-            loaded.listen.callers, root, loaded.max_in_flight + REFUSAL_THREADS
+            loaded.listen.callers,
+            applications.make(root),
+            loaded.max_in_flight + REFUSAL_THREADS,
         ),
         servers.Server(
             loaded.listen.operators,
-            operators.Operators(daemon),
+            applications.make(operators.Operators(daemon)),
             OPERATOR_THREADS,
         ),
     ]
@@ -118,34 +119,6 @@
             daemon.loop.post(events.CallersCounted(root.active))
 
 
-def exit_process(code: int) -> NoReturn:
-    """Ends the process without running exit handlers.
-
-    NNG's handler aborts the process if one of its threads is still ending.
-    Skipping the handlers is safe, because the daemon stores nothing locally.
-    """
-    logs.stop()
-    sys.stdout.flush()
-    sys.stderr.flush()
-    os._exit(code)
-
-
-def run_and_exit(program: Callable[[], int]) -> NoReturn:
-    """Runs ``program`` and ends the process, even if it raises.
-
-    Otherwise threads that were started before the exception, for instance
-    before the system refused to start another one, would keep a process alive
-    that serves no requests.
-    """
-    try:
-        code = program()
-    except Exception as error:
-        logs.write("failed", {"trace": traceback.format_exc()})
-        print(f"hemlockreeld: {error}", file=sys.stderr)
-        code = 1
-    exit_process(code)
-
-
 def run() -> NoReturn:
     """Runs :func:`main` and ends the process; the script's entry point."""
-    run_and_exit(main)
+    process_exit.run_and_exit(main)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/operators.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/operators.py
@@ -4,16 +4,16 @@
 from typing import Any
 
 import cherrypy
-import msgspec
 
 from hemlockreel import board as boards
 from hemlockreel import configuration
 from hemlockreel import host_list
 from hemlockreel import membership
 
+from . import applications
 from . import daemon as daemons
+from . import member_status
 from . import responses
-from . import servers
 
 
 class Operators:
@@ -65,7 +65,7 @@
 
         The query parameter ``request_id`` selects those of one request.
         """
-        request_id = servers.request_query().get("request_id", "")
+        request_id = applications.request_query().get("request_id", "")
         return responses.send_json(self._daemon.traces.find(request_id))
 
 
@@ -75,14 +75,6 @@
     return configuration.current(board) is not None and listed and not draining
 
 
-def describe_members(board: boards.Board) -> list[dict[str, Any]]:
-    """Returns the live members as dictionaries for the status response."""
-    return [
-        msgspec.structs.asdict(member)
-        for member in membership.live_members(board)
-    ]
-
-
 def _describe(board: boards.Board) -> dict[str, Any]:
     active = configuration.current(board)
     return {
@@ -93,7 +85,7 @@
             invalid._asdict()
             for invalid in (active.rejected if active else ())
         ],
-        "members": describe_members(board),
+        "members": member_status.describe(board),
         "backend_servers": [
             replica._replace(role=replica.role.value)._asdict()
             for replica in board.state(host_list.State).replicas.values()
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/servers.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/servers.py
@@ -1,46 +1,21 @@
-"""The HTTP servers of the daemon: CherryPy applications on cheroot.
+"""The HTTP servers of the daemon, on cheroot.
 
 Request targets and header lines are kept as received, including repeated
 headers, because they are forwarded to backend servers.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import threading
 from typing import Any
-from urllib import parse
 
 from cheroot import server
 from cheroot import wsgi
-import cherrypy
-
-from . import responses
 
 SOCKET_KEY = "hemlockreel.socket"
 LINES_KEY = "hemlockreel.header_lines"
 REPEATED_KEY = "hemlockreel.repeated_headers"
 
-# CherryPy's engine is not started, so its reloader, signal handlers and access
-# log are off. Paths and queries are forwarded as received. They are decoded as
-# latin-1, which accepts any byte.
-CONFIG = {
-    "/": {
-        "request.process_request_body": False,
-        "request.show_tracebacks": False,
-        "request.show_mismatched_params": False,
-        "request.query_string_encoding": "latin-1",
-        "request.uri_encoding": "latin-1",
-        "request.error_response": responses.respond_to_unhandled_error,
-        "tools.trailing_slash.on": False,
-        "tools.encode.on": False,
-        "tools.no_parameters.on": True,
-    }
-}
-
-
-def _drop_parameters() -> None:
-    """Prevents CherryPy from passing query parameters to handlers."""
-    cherrypy.request.params = {}
-
 
 class _RecordingReader:
     """A file wrapper that records the lines it reads."""
@@ -99,17 +74,9 @@
 
 
 class Server:
-    """One listener with its own thread pool."""
+    """One listener of a WSGI ``application``, with its own thread pool."""
 
-    def __init__(self, address: str, root: Any, threads: int):
-        cherrypy.config.update(
-            {"environment": "embedded", "log.screen": False}
-        )
-        cherrypy.tools.no_parameters = cherrypy.Tool(
-            "before_handler", _drop_parameters
-        )
-        application = cherrypy.Application(root, "", CONFIG)
-        application.log.access_log.handlers = []
+    def __init__(self, address: str, application: Any, threads: int):
         host, _, port = address.rpartition(":")
         self._server = wsgi.Server(
             (host, int(port)),
@@ -137,23 +104,23 @@
         self._server.stop()
 
 
-def request_target() -> str:
-    """Returns path and query of the current request as received."""
-    uri = cherrypy.request.wsgi_environ["REQUEST_URI"]
-    if uri.startswith("/"):
-        return uri
-    split = parse.urlsplit(uri)
-    return parse.urlunsplit(("", "", split.path or "/", split.query, ""))
+class LateApplication:
+    """A WSGI application that ``make`` returns at the first request.
 
+    It keeps what few requests need out of the memory of the process.
+    """
 
-def request_query() -> dict[str, str]:
-    """Returns the query parameters of the current request."""
-    return dict(parse.parse_qsl(cherrypy.request.query_string))
-
+    def __init__(self, make: Callable[[], Any]):
+        self._make = make
+        self._lock = threading.Lock()
+        self._made: Any = None
 
-def request_headers() -> tuple[tuple[str, str], ...]:
-    """Returns the headers of the current request, including repeated ones."""
-    return parse_header_lines(cherrypy.request.wsgi_environ[LINES_KEY])
+    def __call__(self, environ: Any, start_response: Any) -> Any:
+        """Responds to a request."""
+        with self._lock:
+            if self._made is None:
+                self._made = self._make()
+        return self._made(environ, start_response)
 
 
 def parse_header_lines(lines: Iterable[bytes]) -> tuple[tuple[str, str], ...]:
@@ -171,16 +138,3 @@
             name, _, value = text.partition(":")
             parsed.append((name.strip(), value.strip()))
     return tuple(parsed)
-
-
-def set_response_headers(given: Iterable[tuple[str, str]]) -> None:
-    """Sets the headers of the current response, including repeated ones."""
-    mapping = cherrypy.response.headers
-    repeated = cherrypy.request.wsgi_environ[REPEATED_KEY]
-    seen = set()
-    for name, value in given:
-        if name.lower() in seen:
-            repeated.append((name, value))
-        else:
-            seen.add(name.lower())
-            mapping[name] = value
--- a/tests/hemlockreel_platform/test_start.py
+++ b/tests/hemlockreel_platform/test_start.py
@@ -49,3 +49,20 @@
         processes.await_that(
             lambda: daemon.lines("reloaded"), 10, "it was not reloaded"
         )
+
+
+def test_a_host_that_no_operator_calls_loads_no_application_server():
+    """CherryPy would take a seventh of the memory of an idle host."""
+    shown = subprocess.run(
+        [
+            sys.executable,
+            "-c",
+            "import sys; from hemlockreel_platform import main; "
+            "print('cherrypy' in sys.modules)",
+        ],
+        env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert shown.stdout.strip() == "False"
