Run the start script itself in the test of what it loads

Change: it runs platform/start.py as a module, which sets its own path.

Measured: test_start.py and test_servers.py pass with and without that path.

--- a/tests/hemlockreel_platform/test_start.py
+++ b/tests/hemlockreel_platform/test_start.py
@@ -57,10 +57,9 @@
         [
             sys.executable,
             "-c",
-            "import sys; from hemlockreel_platform import main; "
+            f"import runpy, sys; runpy.run_path({START!r}); "
             "print('cherrypy' in sys.modules)",
         ],
-        env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
         capture_output=True,
         text=True,
         check=True,
