Take no early part without a length for an answer

Callers got 200 with a part of a body: a replica answered a booking of 400 KB before it had read it, without a length, and ended its side in order, or ended and then reset the connection. The end of a connection is the end of such an answer, and the system reports a reset only if no ordered end came before it and no write has taken its error.

What the system still knows is asked: whether the other side has taken all bytes of the request when the head arrives, whether there was input before the last bytes were written, and whether a connection that has ended was reset. If so, the end of the connection is an error. A host that carries a path asks the same and passes such an end on as a reset, which older builds know. Answers with a length or in chunks are passed on as before, also if their server reads the request later.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/bounded_sockets.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/bounded_sockets.py
@@ -11,11 +11,15 @@
 from typing import NamedTuple
 
 from . import clock
+from . import tcp_states
 
 # A read may exceed the deadline by this much. It saves the system call that
 # adjusts the timeout for each of them.
 DEADLINE_SLACK_S = 0.05
 
+# Of a long request, written after a look for an early response.
+LAST_BYTES = 4 * 1024
+
 
 class ResponseLimits(NamedTuple):
     """The largest head, body and stream event of a response, in bytes.
@@ -37,6 +41,10 @@
     """This process has ended the reads of a response."""
 
 
+class EndRefused(ConnectionError):
+    """The end of the connection is no end of a response."""
+
+
 class BoundedSocket(socket.socket):
     """A connected socket whose reads have a common deadline and size.
 
@@ -59,6 +67,34 @@
         self._ends_at = math.inf
         self._left_bytes = math.inf
         self._is_shut = False
+        self._had_input = False
+        self._refuses_end = False
+
+    def begin_request(self) -> None:
+        """Notes that what is written from now on is another request."""
+        self._had_input = self._refuses_end = False
+
+    def sendall(self, data: Any, *flags: int) -> None:
+        """Writes like a socket, and looks for input before the last bytes."""
+        view = memoryview(data)
+        if len(view) > LAST_BYTES:
+            super().sendall(view[:-LAST_BYTES], *flags)
+            self._limit_wait()
+        self._had_input = self._had_input or tcp_states.has_input(self)
+        super().sendall(view[-LAST_BYTES:], *flags)
+
+    def take_is_early(self) -> bool:
+        """Returns whether the head that was read began before its request.
+
+        That is, before the whole request was written and had arrived. Of
+        several heads, input before the last write counts for the first.
+        """
+        had_input, self._had_input = self._had_input, False
+        return had_input or tcp_states.untaken_bytes(self) > 0
+
+    def refuse_end(self) -> None:
+        """Makes reads raise :class:`EndRefused` at the end."""
+        self._refuses_end = True
 
     def shutdown(self, how: int) -> None:
         """Ends the use of the connection, also for a thread that reads."""
@@ -77,16 +113,28 @@
 
     def recv_into(self, *arguments: Any) -> int:
         """Reads like a socket; raises an ``OSError`` beyond the limits."""
-        left_s = self._ends_at - clock.now()
-        if left_s <= 0:
-            raise TimeoutError("the response took too long")
-        timeout_s = self.gettimeout()
-        if timeout_s is None or left_s < timeout_s - DEADLINE_SLACK_S:
-            self.settimeout(left_s if left_s < math.inf else None)
+        self._limit_wait()
         count = super().recv_into(*arguments)
         if self._is_shut:
             raise ReadsEnded("the response was given up")
         self._left_bytes -= count
         if self._left_bytes < 0:
             raise ResponseTooLarge("the response is too large")
+        if not count:
+            self._check_end()
         return count
+
+    def _check_end(self) -> None:
+        if self._refuses_end:
+            raise EndRefused("the response began before its request ended")
+        if tcp_states.was_reset(self):
+            raise EndRefused("the connection was reset after its end")
+
+    def _limit_wait(self) -> None:
+        """Lets the next call wait until the deadline at most."""
+        left_s = self._ends_at - clock.now()
+        if left_s <= 0:
+            raise TimeoutError("the response took too long")
+        timeout_s = self.gettimeout()
+        if timeout_s is None or left_s < timeout_s - DEADLINE_SLACK_S:
+            self.settimeout(left_s if left_s < math.inf else None)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/http_calls.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/http_calls.py
@@ -204,6 +204,7 @@
         # urllib3 sets this on the socket before each step of the request.
         conn.timeout = timeout_s
         sock.set_limits(timeout_s, limits().head_bytes)
+        sock.begin_request()
         with interrupting(box, sock):
             conn.request(
                 method,
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/path_sockets.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/path_sockets.py
@@ -18,6 +18,7 @@
 
 from . import bounded_sockets
 from . import clock
+from . import tcp_states
 
 HEADER = struct.Struct("!I")  # the length of a frame, or one of the marks
 END = 0  # the replica closed its connection
@@ -94,12 +95,11 @@
         Raises :class:`ConnectionResetError` if the replica reset it, and
         :class:`PathLost` if the path broke.
         """
-        if self._has_ended:
-            return 0
         view = memoryview(buffer)
-        if not self._left_in_frame:
+        if not self._left_in_frame and not self._has_ended:
             self._begin_frame()
         if self._has_ended:
+            self._check_end()
             return 0
         most = min(nbytes or len(view), len(view), self._left_in_frame)
         count = self._read(view[:most])
@@ -142,6 +142,10 @@
     A side is read only while nothing waits to be written to the other one, so
     a slow reader slows its writer down. ``to_replica`` and ``from_replica``
     count the bytes carried.
+
+    The end of a replica that has not taken all bytes for it, or had not when
+    it began to write, is passed on as a reset: it can't be the end of a
+    response to them.
     """
 
     def __init__(self, user: socket.socket, replica: socket.socket):
@@ -150,6 +154,8 @@
         self._for_user = bytearray()
         self._for_replica = bytearray()
         self._has_ended = False
+        self._is_early = False
+        self._has_new = False  # bytes for the replica since its last ones
         self.to_replica = 0
         self.from_replica = 0
 
@@ -189,6 +195,7 @@
         except BlockingIOError:
             return True
         self._for_replica += data
+        self._has_new = True
         self.to_replica += len(data)
         return bool(data)
 
@@ -201,9 +208,25 @@
             self._for_user += HEADER.pack(RESET)
             self._has_ended = True
             return
+        if self._has_new or not data:
+            self._has_new = self._has_untaken()
+            self._is_early = self._is_early or self._has_new
+        self._has_ended = not data
+        if not data and (
+            self._is_early or tcp_states.was_reset(self._replica)
+        ):
+            self._for_user += HEADER.pack(RESET)
+            return
         self._for_user += HEADER.pack(len(data)) + data
         self.from_replica += len(data)
-        self._has_ended = not data
+
+    def _has_untaken(self) -> bool:
+        """Returns whether the replica lacks bytes that the user has sent."""
+        return bool(
+            self._for_replica
+            or tcp_states.untaken_bytes(self._replica)
+            or tcp_states.unread_bytes(self._user)
+        )
 
 
 def _mask(waiting: bytearray, own: bytearray) -> int:
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/response_framing.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/response_framing.py
@@ -6,16 +6,21 @@
 its head even gets another framing. All reads of responses go through this
 module, so that the end of a connection is an end only where the framing says
 that the body lasts until then.
+
+Nor is it the end of a response that began before its whole request was
+written: a server that breaks off doesn't read on, and may look like one that
+ends its response.
 """
 
 from http import client
 import io
 import re
-import socket
 from typing import Any
 
 from urllib3.util import response as parsed_responses
 
+from . import bounded_sockets
+
 _LENGTH = re.compile(r"[0-9]{1,18}")
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;.*)?\r?\n", re.DOTALL)
 
@@ -73,8 +78,15 @@
 class Response(client.HTTPResponse):
     """A response whose framing is complete and not contradictory."""
 
-    def __init__(self, sock: socket.socket, *arguments: Any, **named: Any):
+    def __init__(
+        self,
+        sock: bounded_sockets.BoundedSocket,
+        *arguments: Any,
+        **named: Any,
+    ):
         super().__init__(sock, *arguments, **named)
+        self._sock = sock
+        self._is_early = False
         self._lines = _Lines(self.fp.detach())
         self.fp = self._lines
 
@@ -90,6 +102,14 @@
         check_framing(self.status, self.headers)
         if self.chunked:
             self._lines.part = CHUNKS
+        elif self.length is None and self._is_early:
+            self._sock.refuse_end()
+
+    def _read_status(self) -> tuple[str, int, str]:
+        """Reads the first line of a head."""
+        found = super()._read_status()
+        self._is_early = self._sock.take_is_early()
+        return found
 
 
 def check_framing(status: int, headers: client.HTTPMessage) -> None:
--- /dev/null
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/tcp_states.py
@@ -0,0 +1,49 @@
+"""What the system knows of a connection beyond the bytes that were read."""
+
+import contextlib
+import fcntl
+import select
+import socket
+import sys
+import termios
+
+_CLOSED = 7  # TCP_CLOSE of the system; after an ordered end it is CLOSE_WAIT
+_COUNT = bytes(4)
+
+
+def has_input(sock: socket.socket) -> bool:
+    """Returns whether bytes, or the end of the connection, have arrived."""
+    poll = select.poll()
+    with contextlib.suppress(ValueError):  # the socket is closed
+        poll.register(sock, select.POLLIN | select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
+def unread_bytes(sock: socket.socket) -> int:
+    """Returns the number of bytes that have arrived and were not read."""
+    return _to_count(fcntl.ioctl(sock, termios.FIONREAD, _COUNT))
+
+
+def untaken_bytes(sock: socket.socket) -> int:
+    """Returns the number of written bytes that the other system hasn't got.
+
+    Each segment confirms what its sender has received by then. So a server
+    that responds to a whole request leaves none when its response arrives.
+    """
+    return _to_count(fcntl.ioctl(sock, termios.TIOCOUTQ, _COUNT))
+
+
+def was_reset(sock: socket.socket) -> bool:
+    """Returns whether a connection that has ended was reset.
+
+    A reset that follows an ordered end, or whose error another call has got,
+    is not reported by reads: they return the end.
+    """
+    with contextlib.suppress(OSError):
+        found = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        return found[0] == _CLOSED
+    return False  # not over TCP
+
+
+def _to_count(found: bytes) -> int:
+    return int.from_bytes(found, sys.byteorder)
--- a/packages/hemlockreel-daemon/tests/test_bounded_sockets.py
+++ b/packages/hemlockreel-daemon/tests/test_bounded_sockets.py
@@ -5,6 +5,7 @@
 
 import itertools
 import socket
+import struct
 import threading
 import time
 
@@ -122,3 +123,37 @@
             time.sleep(0.02)
     assert b"hemlockreel_broken_messages_total 1.0" in made._metrics.text()
     made.close()
+
+
+def reset(far):
+    far.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    far.close()
+
+
+def end_and_reset(far):
+    far.shutdown(socket.SHUT_WR)
+    reset(far)
+
+
+# MIXED of issue 41: only the system still knows of the reset.
+@pytest.mark.parametrize("writes", [False, True])
+@pytest.mark.parametrize("end", [reset, end_and_reset])
+def test_reset_is_no_end_even_after_one_or_if_a_write_took_it(end, writes):
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        near = bounded_sockets.BoundedSocket(
+            socket.create_connection(listener.getsockname())
+        )
+        far, _ = listener.accept()
+    with near:
+        near.set_limits(TIMEOUT_S, 100)
+        far.sendall(b"part")
+        end(far)
+        time.sleep(0.1)
+        if writes:
+            with pytest.raises(ConnectionError):
+                near.sendall(b"x")
+        assert near.recv_into(bytearray(10)) == 4
+        with pytest.raises(ConnectionError):
+            near.recv_into(bytearray(10))
--- a/packages/hemlockreel-daemon/tests/test_path_sockets.py
+++ b/packages/hemlockreel-daemon/tests/test_path_sockets.py
@@ -71,6 +71,22 @@
         read_all(near)
 
 
+# MIXED of issue 41: the end of a response that began too early was one.
+@pytest.mark.parametrize("reads_on", [False, True])
+def test_end_of_a_replica_that_answered_early_is_no_end(path, reads_on):
+    near, far, _ = path
+    request = b"x" * 2**20
+    near.sendall(request)
+    far.sendall(b"half of an answer")
+    assert near.recv_into(bytearray(100)) == 17
+    left = len(request) if reads_on else 0
+    while left:
+        left -= len(far.recv(65536))
+    far.shutdown(socket.SHUT_WR)
+    with pytest.raises(ConnectionError):
+        read_all(near)
+
+
 @pytest.mark.parametrize("sent", [b"", b"\0\0", b"\0\0\0\5abc"])
 def test_end_of_the_path_is_no_end_and_no_crash(sent):
     near, other = socket.socketpair()
