Take a count that the system doesn't keep for none

Cause: reading an answer's head asked the system for a count by ioctl, and an error of that call would have broken every answer on a system that refuses it.

Change: such an error counts as no bytes.

Measured: the tests of early answers, bounded sockets, paths and framing pass.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/tcp_states.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/tcp_states.py
@@ -21,7 +21,7 @@
 
 def unread_bytes(sock: socket.socket) -> int:
     """Returns the number of bytes that have arrived and were not read."""
-    return _to_count(fcntl.ioctl(sock, termios.FIONREAD, _COUNT))
+    return _count(sock, termios.FIONREAD)
 
 
 def untaken_bytes(sock: socket.socket) -> int:
@@ -30,7 +30,7 @@
     Each segment confirms what its sender has received by then. So a server
     that responds to a whole request leaves none when its response arrives.
     """
-    return _to_count(fcntl.ioctl(sock, termios.TIOCOUTQ, _COUNT))
+    return _count(sock, termios.TIOCOUTQ)
 
 
 def was_reset(sock: socket.socket) -> bool:
@@ -45,5 +45,10 @@
     return False  # not over TCP
 
 
-def _to_count(found: bytes) -> int:
+def _count(sock: socket.socket, request: int) -> int:
+    """Returns a count of the system, 0 where it keeps none."""
+    try:
+        found = fcntl.ioctl(sock, request, _COUNT)
+    except OSError:
+        return 0
     return int.from_bytes(found, sys.byteorder)
