Share a usage cap between all hosts

Cause: caps were decoded, and nobody applied them: an organisation could use any amount. A share for each of 122 hosts is less than one large request.

Change: up to three hosts, chosen by rendezvous, each lend a third of a cap. A request counts before its first replica, from what its host has in hand or with a loan; above the cap callers get 429 with the time of return. What no replica ran is given back. The room above the cap that the settings allow is divided in usage_bounds, so that loans, hosts without a lender, new lenders and partitions stay within it. Without a cap nothing changes and nothing is sent.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
@@ -26,6 +26,8 @@
 from hemlockreel.forwarding import replica_selection
 from hemlockreel.forwarding import retry_budget
 from hemlockreel.forwarding import store_fanout
+from hemlockreel.forwarding import usage_bounds
+from hemlockreel.forwarding import usage_lending
 
 from .. import clock
 from .. import daemon as daemons
@@ -61,13 +63,15 @@
     ``grace_s`` is the time between the request to stop and the kill signal,
     ``settled_s`` the time after a disturbance of the store within which a host
     must know all changes made during it. ``is_first_start`` is set if no host
-    of the deployment has run before.
+    of the deployment has run before. ``usage`` says how far all hosts together
+    may exceed the cap of an organisation.
     """
 
     grace_s: float
     retries: retry_budget.RetryLimits
     settled_s: float = store_reader.DEFAULT_SETTLED_S
     is_first_start: bool = False
+    usage: usage_bounds.UsageLimits = usage_bounds.UsageLimits()
 
 
 class Forwarder:
@@ -100,6 +104,7 @@
         board = self.daemon.board
         board.state(graceful_shutdown.State).grace_s = limits.grace_s
         board.state(retry_budget.State).retry_limits = limits.retries
+        board.state(usage_lending.State).limits = limits.usage
         board.state(store_era.State).is_first_start = limits.is_first_start
         loop = self.daemon.loop
         self.connector = connector.Connector(loop.post, loop.query)
@@ -396,7 +401,7 @@
             )
             handler = handler_class(self._tools, job, exchange, box, key)
             try:
-                handler.run()
+                handler.serve()
             finally:
                 seconds = clock.now() - job.arrived
                 daemon.metrics.count(
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
@@ -52,6 +52,11 @@
         super().__init__(*arguments)
         self._record = progress.Progress(self.job.request.resume_after)
 
+    @property
+    def has_used(self) -> bool:
+        """Whether a replica may have worked on the prompt or the answer."""
+        return self.ran or self._record.was_prefilled
+
     def run(self) -> None:
         """Runs the request and sends the response."""
         try:
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
@@ -17,6 +17,7 @@
 from hemlockreel.forwarding import ranking
 from hemlockreel.forwarding import replica_limits
 from hemlockreel.forwarding import replica_selection
+from hemlockreel.forwarding import usage_caps
 
 from .. import clock
 from .. import daemon as daemons
@@ -149,6 +150,12 @@
         self.tried: list[str] = []
         self.outcome = "failed"
         self._permits_asked = 0
+        self._counted_at: float | None = None
+
+    @property
+    def has_used(self) -> bool:
+        """Whether a replica may have worked on the request."""
+        return self.ran
 
     @property
     def caller_has_left(self) -> bool:
@@ -185,6 +192,63 @@
             route.objective_s, route.timeout_s
         )
 
+    def serve(self) -> None:
+        """Runs the request unless the cap of its organisation is reached."""
+        refused = self._take_usage()
+        if refused is None:
+            self.run()
+            self._return_unused()
+        elif self.box.stopped is not None:
+            self.end_stopped(self.box.stopped.reason)
+        else:
+            self.refuse(refused)
+
+    def run(self) -> None:
+        """Sends the request to replicas and the response to the caller."""
+        raise NotImplementedError
+
+    def _take_usage(self) -> outcomes.Refused | None:
+        """Counts the request towards the cap of its organisation.
+
+        Returns the refusal if the cap is reached.
+        """
+        organisation = self.job.organisation
+        if organisation is None or not organisation.cap.is_limited:
+            return None
+        self.post(
+            usage_caps.UsageRequested(
+                self._key, organisation.name, self.job.cost
+            )
+        )
+        value = self._receive(LOOP_TIMEOUT_S)
+        if isinstance(value, usage_caps.Allowed):
+            self._counted_at = clock.now()
+            return None
+        if isinstance(value, outcomes.Refused):
+            return value
+        if isinstance(value, mailbox.Stopped):
+            return outcomes.not_run(value.reason)
+        return outcomes.not_run(outcomes.Reason.OVERLOADED, RETRY_SOON_S)
+
+    def _return_unused(self) -> None:
+        """Gives back what the request counted if no replica has run it.
+
+        A request whose caller left may have been on its way.
+        """
+        if (
+            self._counted_at is None
+            or self.has_used
+            or self.box.stopped is not None
+        ):
+            return
+        self.post(
+            usage_caps.UsageUnused(
+                self.job.organisation.name,
+                self.job.cost,
+                clock.now() - self._counted_at,
+            )
+        )
+
     def find_candidates(
         self,
         stage: instances.Stage,
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/status.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/status.py
@@ -11,6 +11,8 @@
 from hemlockreel.forwarding import instances
 from hemlockreel.forwarding import ranking
 from hemlockreel.forwarding import replica_health
+from hemlockreel.forwarding import usage_caps
+from hemlockreel.forwarding import usage_lending
 
 from .. import clock
 from .. import operators
@@ -36,6 +38,7 @@
         "routes": len(found.routes) if found else 0,
         "controller": bool(leader.lease_time_left(board, now)),
         "blocked_parts": _describe_blocked(board, now),
+        "caps": _describe_caps(board, now),
         "members": operators.describe_members(board),
         "replicas": [
             _describe(board, each, now)
@@ -44,6 +47,29 @@
     }
 
 
+def _describe_caps(board: boards.Board, now: float) -> list[Any]:
+    """Returns the caps in force and what this host has of them.
+
+    ``lendable`` is ``None`` if other hosts lend the cap.
+    """
+    found = active_deployment.current(board)
+    if found is None:
+        return []
+    return [
+        {
+            "organisation": each.name,
+            "rate": each.cap.rate,
+            "burst": each.cap.burst,
+            "unit": each.cap.unit.value,
+            "lenders": usage_lending.lenders(board, each.name, each.cap),
+            "lendable": usage_lending.left(board, each.name, now),
+            "held": round(usage_caps.held(board, each.name, now), 1),
+        }
+        for each in found.organisations
+        if each.cap.is_limited
+    ]
+
+
 def _describe_blocked(board: boards.Board, now: float) -> list[Any]:
     return [
         {
--- a/packages/hemlockreel/hemlockreel/core.py
+++ b/packages/hemlockreel/hemlockreel/core.py
@@ -45,6 +45,8 @@
 from .forwarding import store_fanout
 from .forwarding import stream_records
 from .forwarding import stream_versions
+from .forwarding import usage_caps
+from .forwarding import usage_lending
 
 # The order matters: membership runs before the controllers that use its table,
 # so that they see the table as updated by the same event.
@@ -84,6 +86,8 @@
     reachability,
     replica_pauses,
     replica_limits,
+    usage_lending,
+    usage_caps,
     blocked_parts,
     block_records,
     stream_versions,
--- a/packages/hemlockreel/hemlockreel/messages/__init__.py
+++ b/packages/hemlockreel/hemlockreel/messages/__init__.py
@@ -54,6 +54,11 @@
 from .streams import StreamAsked
 from .streams import StreamKnown
 from .streams import StreamsBegun
+from .usage import Loan
+from .usage import UsageAsked
+from .usage import UsageLent
+from .usage import UsageReturned
+from .usage import Want
 from .wire import AnyMessage
 from .wire import decode
 from .wire import encode
@@ -78,6 +83,7 @@
     "HeartbeatMismatch",
     "HeldGrant",
     "ListRead",
+    "Loan",
     "MemberUpdate",
     "Message",
     "Moved",
@@ -107,6 +113,10 @@
     "StreamsBegun",
     "Sync",
     "SyncRequest",
+    "UsageAsked",
+    "UsageLent",
+    "UsageReturned",
+    "Want",
     "Withdraw",
     "decode",
     "encode",
--- a/packages/hemlockreel/hemlockreel/messages/wire.py
+++ b/packages/hemlockreel/hemlockreel/messages/wire.py
@@ -11,6 +11,7 @@
 from . import requests
 from . import shared
 from . import streams
+from . import usage
 
 AnyMessage = (
     members.Ping
@@ -53,6 +54,9 @@
     | streams.StreamsBegun
     | streams.StreamAsked
     | streams.StreamKnown
+    | usage.UsageAsked
+    | usage.UsageLent
+    | usage.UsageReturned
 )
 
 _decoder = msgspec.msgpack.Decoder(AnyMessage)
--- a/standins/hemlockreel_standins/forwarding_rig.py
+++ b/standins/hemlockreel_standins/forwarding_rig.py
@@ -14,6 +14,7 @@
 
 from hemlockreel.forwarding import deployments
 from hemlockreel.forwarding import instances
+from hemlockreel.forwarding import organisations
 from hemlockreel_daemon.forwarding import generation
 from hemlockreel_daemon.forwarding import interfaces
 from hemlockreel_daemon.forwarding import plain_requests
@@ -269,17 +270,21 @@
         gone: bool = False,
         resume_after: str = "",
         resumes: str = "",
+        organisation: organisations.Organisation | None = None,
     ) -> Exchange:
         """Handles one request and returns the recorded response.
 
-        With ``resume_after`` it resumes a stream that ``resumes`` began.
+        With ``resume_after`` it resumes a stream that ``resumes`` began. It
+        counts towards the cap of ``organisation``.
         """
         self.box = self.loop.box = mailbox.Mailbox()
         request = interfaces.CallerRequest(
             "id", "POST", "/assess/1", "/assess/1", "a.example", (), b"",
             deadline_s, demand, resume_after, resumes=resumes,
         )  # fmt: skip
-        job = request_handler.Job(request, route, service, 1, clock.now())
+        job = request_handler.Job(
+            request, route, service, 1, clock.now(), organisation
+        )
         tools = request_handler.Tools(
             Daemon(self.loop), self.backends, Callers()
         )
@@ -289,7 +294,7 @@
             if service.engine
             else plain_requests.PlainHandler
         )
-        kind(tools, job, exchange, self.box, KEY).run()
+        kind(tools, job, exchange, self.box, KEY).serve()
         return exchange
 
 
--- a/tests/hemlockreel_platform/test_settings.py
+++ b/tests/hemlockreel_platform/test_settings.py
@@ -30,6 +30,12 @@
     assert loaded.daemon.responses == product.Responses()
 
 
+def test_limits_of_usage_are_decoded():
+    text = LINES + "bounds.quota_slack=120000\nbounds.quota_overage=0.2\n"
+    usage = settings.decode(settings.parse(text)).limits.usage
+    assert usage == (8.0, 0.2, 120000.0)
+
+
 def test_limits_of_responses_and_the_first_start_are_decoded():
     text = LINES + "bootstrap=true\nresponses.event_bytes=4096\n"
     loaded = settings.decode(settings.parse(text))
@@ -46,6 +52,8 @@
         (LINES + "\nresponses.body_bytes=x", r"responses: .*\.body_bytes"),
         (LINES + "\nresponses.event_bytes=999999999", r"\.event_bytes"),
         (LINES.replace("grace_s=8", "grace_s=x"), "expected a number"),
+        (LINES + "\nbounds.quota_window_s=0", "quota_window_s: must be"),
+        (LINES + "\nbounds.quota_slack=-1", "must not be negative"),
     ],
 )
 def test_error_names_wrong_setting(tmp_path, text, message):
