Learn the pace of replicas from their answers

Servers of one service differ in speed, and the ranking knew nothing of it. Hosts time answers and the events of streams and report sums once a second to one host for the service, which compares the replicas and answers with those that differ. The ranking divides by room and pace. Not measured yet.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
@@ -22,6 +22,7 @@
 from hemlockreel.forwarding import organisations
 from hemlockreel.forwarding import reachability
 from hemlockreel.forwarding import replica_limits
+from hemlockreel.forwarding import replica_pace
 from hemlockreel.forwarding import replica_pauses
 from hemlockreel.forwarding import replica_selection
 from hemlockreel.forwarding import retry_budget
@@ -61,13 +62,15 @@
     ``grace_s`` is the time between the request to stop and the kill signal,
     ``settled_s`` the time after a disturbance of the store within which a host
     must know all changes made during it. ``is_first_start`` is set if no host
-    of the deployment has run before.
+    of the deployment has run before. ``learns_pace`` is cleared if all
+    replicas of a service count as alike.
     """
 
     grace_s: float
     retries: retry_budget.RetryLimits
     settled_s: float = store_reader.DEFAULT_SETTLED_S
     is_first_start: bool = False
+    learns_pace: bool = True
 
 
 class Forwarder:
@@ -100,6 +103,7 @@
         board = self.daemon.board
         board.state(graceful_shutdown.State).grace_s = limits.grace_s
         board.state(retry_budget.State).retry_limits = limits.retries
+        board.state(replica_pace.State).is_enabled = limits.learns_pace
         board.state(store_era.State).is_first_start = limits.is_first_start
         loop = self.daemon.loop
         self.connector = connector.Connector(loop.post, loop.query)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
@@ -4,6 +4,7 @@
 is wasted for lack of memory.
 """
 
+import functools
 from typing import Any
 
 from hemlockreel import outcomes
@@ -20,6 +21,7 @@
 from . import request_handler
 from . import reservation
 from . import stream_forwarding
+from . import stream_times
 
 MAX_REFUSED_RUNS = 2  # that a decode replica refused without running
 # Callers abandon a stream after 2 s without an event at the earliest, so a
@@ -221,8 +223,13 @@
                 replica_selection.PrefillResultUsed(prefilled.instance, True)
             )
         events = self._record.events
+        timer = stream_times.Timer(
+            functools.partial(self.report_time, reserved.instance),
+            sent_at,
+            prefilled is not None,
+        )
         refused = stream_forwarding.forward_response(
-            self, self._record, head, reserved.instance.software
+            self, self._record, head, reserved.instance.software, timer
         )
         result.succeeded = refused is None
         if head.status != stream_forwarding.OK or self.box.stopped is not None:
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/plain_requests.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/plain_requests.py
@@ -9,6 +9,7 @@
 from hemlockreel import outcomes
 
 from hemlockreel.forwarding import instances
+from hemlockreel.forwarding import replica_pace
 from hemlockreel.forwarding import replica_selection
 
 from .. import clock
@@ -166,6 +167,11 @@
             succeeded = (
                 isinstance(result, Response) and result.status < SERVER_ERROR
             )
+            if succeeded:
+                seconds = clock.now() - sent_at
+                self.report_time(
+                    instance, replica_pace.Kind.ANSWER, seconds, seconds
+                )
             return result
         finally:
             if self.box.stopped is not None:
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
@@ -16,6 +16,7 @@
 from hemlockreel.forwarding import organisations
 from hemlockreel.forwarding import ranking
 from hemlockreel.forwarding import replica_limits
+from hemlockreel.forwarding import replica_pace
 from hemlockreel.forwarding import replica_selection
 
 from .. import clock
@@ -166,6 +167,20 @@
         """Posts an event to the loop."""
         self.tools.daemon.loop.post(event)
 
+    def report_time(
+        self,
+        instance: instances.Instance,
+        kind: replica_pace.Kind,
+        seconds: float,
+        busy_s: float = 0.0,
+    ) -> None:
+        """Reports a time that the pace of ``instance`` is learned from."""
+        self.post(
+            replica_pace.AnswerTimed(
+                instance.id, instance.born, kind, seconds, busy_s
+            )
+        )
+
     def left_s(self) -> float:
         """Returns the seconds until the deadline of the caller or route."""
         job = self.job
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/status.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/status.py
@@ -11,6 +11,7 @@
 from hemlockreel.forwarding import instances
 from hemlockreel.forwarding import ranking
 from hemlockreel.forwarding import replica_health
+from hemlockreel.forwarding import replica_pace
 
 from .. import clock
 from .. import operators
@@ -67,5 +68,7 @@
         "stage": each.stage.value,
         "usable": instances.is_usable(known, each.id, now),
         "failures": round(replica_health.failure_rate(seen, each.id, now), 3),
+        "pace": round(replica_pace.pace(board, each, now), 2),
+        "places": round(replica_pace.places(board, each, now), 1),
         "own_requests": own.running.get(each.id, 0),
     }
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/stream_forwarding.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/stream_forwarding.py
@@ -10,6 +10,7 @@
 from . import interfaces
 from . import progress
 from . import request_handler
+from . import stream_times
 
 OK = 200
 
@@ -19,11 +20,13 @@
     record: progress.Progress,
     head: interfaces.ResponseHead,
     software: str = "",
+    timer: stream_times.Timer | None = None,
 ) -> outcomes.Refused | None:
     """Forwards a response; returns why it ended early, ``None`` if complete.
 
     Only a response with status 200 is streamed. Any other is forwarded as a
-    whole. ``software`` is the version of the replica's software.
+    whole. ``software`` is the version of the replica's software, and ``timer``
+    times the events.
     """
     opened = head.opened
     splitter = event_stream.Splitter(record.last_event_id)
@@ -37,7 +40,7 @@
                 return _broken(f"status {head.status} to a resumed stream")
             with http_calls.hold_memory(opened.sock) as holding:
                 return _forward_events(
-                    handler, record, head, splitter, software, holding
+                    handler, record, head, splitter, software, holding, timer
                 )
     except http_calls.CALL_ERRORS as error:
         failed = http_calls.to_failure(error)
@@ -59,6 +62,7 @@
     splitter: event_stream.Splitter,
     software: str,
     holding: response_memory.Holding,
+    timer: stream_times.Timer | None,
 ) -> outcomes.Refused | None:
     refused = _begin(handler, record, head)
     if refused is not None:
@@ -79,7 +83,10 @@
             http_calls.READ_BYTES, decode_content=False
         )
         if not data:
-            return _check_end(head, splitter)
+            refused = _check_end(head, splitter)
+            if timer is not None and refused is None:
+                timer.finish(clock.now())
+            return refused
         if handler.box.stopped is not None:
             return outcomes.may_have_run(handler.box.stopped.reason)
         before = splitter.last_id, splitter.count
@@ -91,10 +98,15 @@
             return _broken(fault)
         if whole:
             _note_events(handler, record, software)
+            received_at = clock.now()
+            if timer is not None:
+                timer.note_events(splitter.count - before[1], received_at)
         if len(splitter.rest) > event_bytes:
             return _broken(f"an event has more than {event_bytes} bytes")
         if whole and not handler.exchange.send(whole):
             return _note_caller_gone(handler)
+        if whole and timer is not None:
+            timer.note_caller(clock.now() - received_at)
 
 
 def _begin(
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/metrics.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/metrics.py
@@ -21,6 +21,7 @@
     "leaving_replicas": ("Replicas that told this host that they leave.", ()),
     "replica_pauses": ("Pauses that replicas asked of this host.", ()),
     "replica_limits": ("News of limits that replicas name.", ()),
+    "replica_paces": ("Changes of pace found by this host.", ()),
     "blocked_parts": ("Parts of prompts taken for crashing.", ()),
     "unknown_streams": ("Streams that could not be resumed.", ()),
     "late_moves": ("News of moves that a later one had undone.", ()),
--- a/packages/hemlockreel/hemlockreel/core.py
+++ b/packages/hemlockreel/hemlockreel/core.py
@@ -39,6 +39,7 @@
 from .forwarding import instance_updates
 from .forwarding import reachability
 from .forwarding import replica_limits
+from .forwarding import replica_pace
 from .forwarding import replica_pauses
 from .forwarding import replica_selection
 from .forwarding import stage_assignment
@@ -84,6 +85,7 @@
     reachability,
     replica_pauses,
     replica_limits,
+    replica_pace,
     blocked_parts,
     block_records,
     stream_versions,
--- a/packages/hemlockreel/hemlockreel/forwarding/instance_updates.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/instance_updates.py
@@ -18,6 +18,7 @@
 from . import ranking
 from . import replica_health
 from . import replica_limits
+from . import replica_pace
 
 
 @functools.singledispatch
@@ -128,6 +129,7 @@
     for id in gone:
         replica_health.forget(board.state(replica_health.State), id)
         replica_limits.forget(board.state(replica_limits.State), id)
+        replica_pace.forget(board.state(replica_pace.State), id)
         prefill_times.forget(board.state(prefill_times.State), id)
         board.state(ranking.State).reservation_refused_at.pop(id, None)
         yield actions.Log("replica_gone", {"replica": id})
--- a/packages/hemlockreel/hemlockreel/forwarding/ranking.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/ranking.py
@@ -1,7 +1,8 @@
 """Ranks the replicas that a request may be sent to.
 
 A host sees only its own requests, so it ranks by what it knows: its own load
-at each replica, the recent outcomes there, and the availability zone.
+at each replica, the recent outcomes there, the availability zone, and the pace
+that the hosts have learned together.
 """
 
 from typing import NamedTuple
@@ -12,6 +13,7 @@
 from . import reachability
 from . import replica_health
 from . import replica_limits
+from . import replica_pace
 from . import replica_pauses
 
 # A replica in another availability zone costs a round trip between zones, so
@@ -20,6 +22,10 @@
 ZONE_PENALTY = 0.25
 # Of the slots, for a replica that only another host reaches.
 HELPED_PENALTY = 0.5
+# Of the slots, for a replica that a request skips because others are faster.
+# More than for another zone, as a slow replica next to its callers would else
+# get all of their requests while this host has none there.
+SKIPPED_PENALTY = 0.5
 FAILURE_WEIGHT = 4.0  # of the failure rate, relative to the share of slots
 # Of the requests, for which replicas that name a limit come before others.
 # The rest is for the others, as most requests would find no permit.
@@ -95,22 +101,54 @@
     limited = replica_limits.limited(board)
     is_first = board.rng.random() < LIMITED_FIRST_SHARE
     best = min(rates.values(), default=0.0)
+    skipped = _skip_slow(board, found, event.stage, now)
 
     def key(each: instances.Instance) -> tuple[bool, bool, bool, float, float]:
         excess_failures = max(
             0.0, rates[each.id] - best - replica_health.FAILURE_RATE_TOLERANCE
         )
+        load = _load(board, each, event, now)
+        if each.id in skipped:
+            load += SKIPPED_PENALTY
         return (
             replica_health.is_in_connect_backoff(health, each.id, now),
             _is_full(board, each, event, now),
             (each.id in limited) != is_first,
-            _load(board, each, event, now) + FAILURE_WEIGHT * excess_failures,
+            load + FAILURE_WEIGHT * excess_failures,
             board.rng.random(),
         )
 
     return sorted(found, key=key)
 
 
+def _skip_slow(
+    board: boards.Board,
+    found: list[instances.Instance],
+    stage: instances.Stage,
+    now: float,
+) -> frozenset[str]:
+    """Returns the ids of the replicas that this request skips.
+
+    In a large fleet a host rarely has a request at any replica, so that its
+    own load says nothing. So a replica of a quarter of the pace is skipped by
+    three of four requests.
+    """
+    if stage is instances.Stage.PREFILL or len(found) < 2:
+        return frozenset()
+    weights = {
+        each.id: replica_pace.places(board, each, now)
+        / max(each.slots, 1)
+        * replica_pace.pace(board, each, now)
+        for each in found
+    }
+    highest = max(weights.values())
+    return frozenset(
+        id
+        for id, weight in weights.items()
+        if weight < highest and board.rng.random() * highest >= weight
+    )
+
+
 def _prefill_s(
     board: boards.Board,
     each: instances.Instance,
@@ -144,13 +182,17 @@
 ) -> float:
     """Returns the load of a replica, comparable within one stage.
 
-    It is the share of slots that requests of this host use, or for prefill
-    the predicted seconds until the prompt is processed.
+    It is the share of its room that requests of this host use, less for a
+    fast replica, or for prefill the predicted seconds until the prompt is
+    processed.
     """
     if event.stage is instances.Stage.PREFILL:
         return _prefill_s(board, each, event, now)
     state = board.state(State)
-    share = state.running.get(each.id, 0) / max(each.slots, 1)
+    share = state.running.get(each.id, 0) / (
+        replica_pace.places(board, each, now)
+        * replica_pace.pace(board, each, now)
+    )
     if event.stage is not instances.Stage.PLAIN:
         return share
     if each.zone != board.identity.zone:
--- a/packages/hemlockreel/hemlockreel/messages/__init__.py
+++ b/packages/hemlockreel/hemlockreel/messages/__init__.py
@@ -16,6 +16,10 @@
 from .members import PingRequest
 from .members import Sync
 from .members import SyncRequest
+from .paces import PacesTold
+from .paces import ReplicaPace
+from .paces import ReplicaTimes
+from .paces import TimesReported
 from .parts import BlockedPart
 from .parts import PartsJudged
 from .parts import PartsWorked
@@ -82,6 +86,7 @@
     "Message",
     "Moved",
     "NotOwner",
+    "PacesTold",
     "PartsJudged",
     "PartsWorked",
     "PauseTold",
@@ -97,7 +102,9 @@
     "ReplicaChanging",
     "ReplicaLeaving",
     "ReplicaLimited",
+    "ReplicaPace",
     "ReplicaReport",
+    "ReplicaTimes",
     "Revoked",
     "RunBroke",
     "ShardPlan",
@@ -107,6 +114,7 @@
     "StreamsBegun",
     "Sync",
     "SyncRequest",
+    "TimesReported",
     "Withdraw",
     "decode",
     "encode",
--- a/packages/hemlockreel/hemlockreel/messages/wire.py
+++ b/packages/hemlockreel/hemlockreel/messages/wire.py
@@ -4,6 +4,7 @@
 
 from . import limits
 from . import members
+from . import paces
 from . import parts
 from . import paths
 from . import region
@@ -46,6 +47,8 @@
     | limits.ReplicaLimited
     | limits.PermitAsked
     | limits.PermitGiven
+    | paces.TimesReported
+    | paces.PacesTold
     | parts.RunBroke
     | parts.PartsWorked
     | parts.PartsJudged
