--- a/packages/hemlockreel/hemlockreel/forwarding/pace_estimates.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/pace_estimates.py
@@ -88,6 +88,8 @@
     ``log_pace`` is the logarithm of its pace, ``room`` the share of its slots
     that it takes well. ``best`` is its lowest time relative to the other
     replicas, as a logarithm, and ``best_running`` what ran there then.
+    ``slowed_running`` is what ran when it was slower than that, ``None`` if it
+    isn't now.
     """
 
     born: int
@@ -95,6 +97,7 @@
     room: float = 1.0
     best: float | None = None
     best_running: float = 0.0
+    slowed_running: float | None = None
 
     @property
     def pace(self) -> float:
@@ -282,21 +285,25 @@
     """Learns how many requests a replica takes before it slows down.
 
     ``time`` is the logarithm of its time relative to the other replicas, and
-    ``is_slow`` whether that differs from them. If it is long although few
-    requests run, the replica is slow at any load, and this becomes its best
-    time.
+    ``is_slow`` whether that differs from them. More requests run at any
+    replica that gets slower. So only once fewer run does it show what the
+    cause was: with too many requests the time is short again, and otherwise
+    the replica is slow at any load and this becomes its best time.
     """
     slots = max(slots, 1)
     best = time if known.best is None else known.best + DRIFT_PER_S * passed_s
     has_slowed = is_slow and time - best > SLOWDOWN
+    room, slowed = known.room, known.slowed_running
     if has_slowed and running > max(1.0, MORE_RUNNING * known.best_running):
-        room = min(known.room, BACK_OFF * running / slots)
+        slowed = running if slowed is None else min(slowed, running)
     else:
         if has_slowed or time <= best:
             best = time
             known = known._replace(best_running=running)
-        is_used = running >= USED_SHARE * known.room * slots
+        if slowed is not None and not has_slowed and running < slowed:
+            room = min(room, BACK_OFF * slowed / slots)
+        slowed = None
+        is_used = running >= USED_SHARE * room * slots
         growth = GROWTH_PER_S if is_used else IDLE_GROWTH_PER_S
-        room = known.room + growth * passed_s
-    room = min(max(room, 1 / slots), 1.0)
-    return known._replace(room=room, best=best)
+        room = min(max(room + growth * passed_s, 1 / slots), 1.0)
+    return known._replace(room=room, best=best, slowed_running=slowed)
