Test and describe the learned pace of replicas

A host that lost the collecting host went back to neutral for a moment (a median pace of 0.88 for a replica at 0.26). It now goes on from what it was told last.

--- a/packages/hemlockreel/hemlockreel/forwarding/replica_pace.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/replica_pace.py
@@ -6,8 +6,8 @@
 one host for the service, chosen by rendezvous. That host compares the
 replicas, see :mod:`pace_estimates`, and answers with those that differ.
 
-A host without an answer goes by the times that it has seen itself. Only
-answers that succeed are reported: a failure may be fast.
+A host without an answer goes on from what it was told last by the times that
+it sees itself. Only answers that succeed are reported: a failure may be fast.
 """
 
 from collections.abc import Iterable
@@ -378,9 +378,29 @@
             state.told[each.replica] = Told(
                 each.born, each.pace, each.room, now
             )
+    _adopt(state, event.service, now)
     return ()
 
 
+def _adopt(state: State, service: str, now: float) -> None:
+    """Has this host's own view of ``service`` go on from what was told."""
+    for kind in Kind:
+        group = state.own.get((service, kind))
+        if group is None:
+            continue
+        for id, learned in group.learned.items():
+            told = state.told.get(id)
+            if (
+                told is None
+                or told.born != learned.born
+                or now - told.at > SILENCE_S
+            ):
+                told = NEUTRAL
+            group.learned[id] = learned._replace(
+                log_pace=math.log(told.pace), room=told.room
+            )
+
+
 def forget(state: State, id: str) -> None:
     """Drops what is known of a removed replica."""
     state.told.pop(id, None)
--- a/packages/hemlockreel/tests/forwarding/test_replica_pace.py
+++ b/packages/hemlockreel/tests/forwarding/test_replica_pace.py
@@ -7,11 +7,11 @@
 import pytest
 
 from hemlockreel import core
+from hemlockreel import messages
 from hemlockreel_standins import fabric
 from hemlockreel_standins import forwarding_rig as rigs
 
 from hemlockreel.forwarding import instances
-from hemlockreel.forwarding import pace_estimates
 from hemlockreel.forwarding import ranking
 from hemlockreel.forwarding import replica_pace
 from hemlockreel.forwarding import replica_selection
@@ -112,3 +112,168 @@
 
     def places(self, id):
         return self.learned(replica_pace.places, id)
+
+
+def slow_down(id, factor):
+    """Returns the times of answers while one replica is slower."""
+    return lambda host, sent_to, running: (
+        ANSWER_S * (factor if sent_to == id else 1.0),
+        True,
+    )
+
+
+def share(sent, id):
+    return sum(sent_to == id for sent_to, _ in sent) / len(sent)
+
+
+def p95(sent):
+    return statistics.quantiles((seconds for _, seconds in sent), n=20)[-1]
+
+
+def test_a_slow_replica_is_found_in_two_seconds_and_gets_less():
+    """Load: 400 requests/s of 75 hosts, one of three replicas 4x slower."""
+    fleet = Fleet()
+    before = p95(fleet.serve(3.0))
+    fleet.answer_s = slow_down("s1", 4.0)
+    fleet.serve(2.0)
+    assert fleet.pace("s1") < 0.5
+    fleet.serve(2.0)
+    sent = fleet.serve(4.0)
+    # A ninth is its share of the speed of all three.
+    assert 1 / 18 < share(sent, "s1") < 2 / 9
+    assert fleet.pace("s1") == pytest.approx(0.25, abs=0.1)
+    assert p95([each for each in sent if each[0] != "s1"]) < 1.25 * before
+    fleet.answer_s = slow_down("s1", 1.0)
+    fleet.serve(1.0)
+    assert fleet.pace("s1") < 0.5  # it isn't flooded
+    fleet.serve(9.0)
+    assert fleet.pace("s1") == 1.0
+    assert share(fleet.serve(2.0), "s1") > 0.25
+
+
+def test_a_replica_that_slows_down_before_it_is_full_is_kept_below():
+    """Load: 900 requests/s; one replica of 30 slots slows down beyond 15."""
+    fleet = Fleet()
+    fleet.serve(3.0)
+    fleet.answer_s = lambda host, id, running: (
+        ANSWER_S * (1 + max(0, running - 15) / 2 if id == "s1" else 1),
+        True,
+    )
+    fleet.serve(10.0, per_s=900)
+    ran = []
+    sent = []
+    for _ in range(100):
+        sent += fleet.serve(0.1, per_s=900)
+        ran.append(fleet.running["s1"])
+    assert fleet.places("s1") < 22
+    assert statistics.mean(ran) < 15
+    assert p95(sent) < 3 * ANSWER_S
+    assert fleet.places("s0") == fleet.places("s2") == SLOTS
+
+
+def slow_when_busy(host, id, running):
+    return ANSWER_S * max(1.0, running / 10), True
+
+
+def fail_fast(host, id, running):
+    return (0.002, False) if id == "s1" else (ANSWER_S, True)
+
+
+def slow_link(host, id, running):
+    return ANSWER_S * (10 if host == "10.0.0.0:9" else 1), True
+
+
+@pytest.mark.parametrize(
+    ("answer_s", "per_s"),
+    [(slow_when_busy, 1200), (fail_fast, 400), (slow_link, 400)],
+)
+def test_replicas_count_as_alike(answer_s, per_s):
+    """Loads: a burst over all, failures that answer fast, one slow link."""
+    fleet = Fleet()
+    fleet.serve(2.0)
+    fleet.answer_s = answer_s
+    for _ in range(6):
+        fleet.serve(1.0, per_s=per_s)
+        assert [fleet.pace(id) for id in fleet.running] == [1.0] * 3
+        assert [fleet.places(id) for id in fleet.running] == [SLOTS] * 3
+
+
+def test_alike_replicas_are_ranked_as_without_pace():
+    """Load: a calm fleet, where the pace must change no choice."""
+    sent = []
+    for is_enabled in (True, False):
+        fleet = Fleet(hosts=13)
+        for board in fleet.fabric.boards.values():
+            board.state(replica_pace.State).is_enabled = is_enabled
+        sent.append(fleet.serve(6.0, per_s=200))
+    assert sent[0] == sent[1]
+
+
+def test_another_host_collects_when_one_is_lost():
+    """Failure: the host that collects the times dies while one is slow."""
+    fleet = Fleet()
+    fleet.answer_s = slow_down("s1", 4.0)
+    fleet.serve(4.0)
+    sent = fleet.fabric.sent[fleet.hosts[5]]
+    collector = [
+        each.to
+        for each in sent
+        if isinstance(each.message, messages.TimesReported)
+    ][-1]
+    fleet.fabric.kill(collector)
+    fleet.hosts.remove(collector)
+    paces = []
+    for _ in range(16):
+        fleet.serve(0.5)
+        paces.append(fleet.pace("s1"))
+    assert max(paces) < 0.7
+    assert paces[-1] < 0.4
+
+
+def test_a_host_without_answers_goes_by_its_own_times():
+    """Failure: a busy host that hears no other one finds a slow replica."""
+    fleet = Fleet(hosts=13)
+    fleet.answer_s = slow_down("s1", 4.0)
+    alone = fleet.hosts[3]
+    others = [host for host in fleet.hosts if host != alone]
+    fleet.fabric.cut(others, [alone])
+    fleet.hosts = [alone]
+    fleet.serve(8.0, per_s=60)
+    fleet.hosts = others
+    board = fleet.fabric.boards[alone]
+    assert replica_pace.pace(board, LISTED[1], fleet.fabric.now) < 0.6
+    fleet.serve(20.0, per_s=60)
+    assert replica_pace.pace(board, LISTED[0], fleet.fabric.now) == 1.0
+
+
+def test_a_replica_that_starts_anew_is_forgotten():
+    """Failure: a slow replica restarts under the same id and is fast."""
+    fleet = Fleet()
+    fleet.answer_s = slow_down("s1", 4.0)
+    fleet.serve(4.0)
+    assert fleet.pace("s1") < 0.5
+    started = LISTED[1]._replace(born=8)
+    for host in fleet.hosts:
+        fleet.fabric.post(host, instances.InstancesChanged((started,), ()))
+    fleet.answer_s = slow_down("s1", 1.0)
+    fleet.fabric.run(0.1)
+    assert fleet.pace("s1") == 1.0
+    fleet.serve(4.0)
+    assert fleet.pace("s1") == 1.0
+
+
+def test_a_slow_replica_of_the_own_zone_gets_less_than_another_zone():
+    """Load: hosts that rarely have a request running at any replica."""
+    far = LISTED[0]._replace(id="far", zone="elsewhere")
+    fleet = Fleet(hosts=1, listed=(LISTED[1], far))
+    board = fleet.fabric.boards[fleet.hosts[0]]
+    told = messages.PacesTold(
+        sender="10.0.0.1:9",
+        epoch=1,
+        service=SERVICE,
+        paces=[messages.ReplicaPace("s1", 7, 0.25)],
+    )
+    fleet.fabric.post(fleet.hosts[0], told)
+    sent = fleet.serve(2.0, per_s=200)
+    assert 0.15 < share(sent, "s1") < 0.35
+    assert replica_pace.pace(board, far, fleet.fabric.now) == 1.0
--- a/tests/hemlockreel_platform/test_settings.py
+++ b/tests/hemlockreel_platform/test_settings.py
@@ -30,6 +30,15 @@
     assert loaded.daemon.responses == product.Responses()
 
 
+@pytest.mark.parametrize(
+    ("line", "learns"),
+    [("", True), ("pace.learned=true", True), ("pace.learned=false", False)],
+)
+def test_whether_the_pace_of_replicas_is_learned(line, learns):
+    loaded = settings.decode(settings.parse(f"{LINES}\n{line}\n"))
+    assert loaded.limits.learns_pace is learns
+
+
 def test_limits_of_responses_and_the_first_start_are_decoded():
     text = LINES + "bootstrap=true\nresponses.event_bytes=4096\n"
     loaded = settings.decode(settings.parse(text))
@@ -42,6 +51,7 @@
     [
         (LINES.replace("zone=a", "zone="), "zone is missing"),
         (LINES + "\nnonsense", "expected NAME=VALUE"),
+        (LINES + "\npace.learned=1", "pace.learned: expected true or false"),
         (LINES + "\nresponses.head_bytes=1", r"responses: .*\.head_bytes"),
         (LINES + "\nresponses.body_bytes=x", r"responses: .*\.body_bytes"),
         (LINES + "\nresponses.event_bytes=999999999", r"\.event_bytes"),
