Let one request of twenty try the slowest replica

A replica with little room and a low pace got one request of 160, so that nothing showed its recovery. A pace above 1 that fell never reached 1 exactly.

--- a/packages/hemlockreel/hemlockreel/forwarding/pace_estimates.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/pace_estimates.py
@@ -33,6 +33,7 @@
 # that has recovered is not flooded.
 FALL_SHARE = 0.8
 RISE_PER_S = math.log(1.25)
+NEAR = math.log(1.02)  # of the target, which is then taken
 # A replica slows down under load if its time rises by this factor, relative to
 # the others, while it runs this much more than in its best time.
 SLOWDOWN = math.log(1.5)
@@ -260,7 +261,7 @@
 
 
 def _move(log_pace: float, target: float, passed_s: float) -> float:
-    if target < log_pace:
+    if target < log_pace - NEAR:
         return log_pace + FALL_SHARE * (target - log_pace)
     return min(target, log_pace + RISE_PER_S * passed_s)
 
--- a/packages/hemlockreel/hemlockreel/forwarding/ranking.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/ranking.py
@@ -26,6 +26,8 @@
 # More than for another zone, as a slow replica next to its callers would else
 # get all of their requests while this host has none there.
 SKIPPED_PENALTY = 0.5
+# Of the requests, that skip not even the slowest one, to notice its recovery.
+TRIAL_SHARE = 0.05
 FAILURE_WEIGHT = 4.0  # of the failure rate, relative to the share of slots
 # Of the requests, for which replicas that name a limit come before others.
 # The rest is for the others, as most requests would find no permit.
@@ -145,7 +147,8 @@
     return frozenset(
         id
         for id, weight in weights.items()
-        if weight < highest and board.rng.random() * highest >= weight
+        if weight < highest
+        and board.rng.random() >= max(weight / highest, TRIAL_SHARE)
     )
 
 
--- a/packages/hemlockreel/hemlockreel/forwarding/replica_pace.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/replica_pace.py
@@ -241,7 +241,7 @@
     for each in event.times:
         _collect(state, event, each, now)
     state.reporters.setdefault(event.service, {})[event.sender] = now
-    told = _paces_told(board, event.service, now)
+    told = _make_answer(board, event.service, now)
     yield actions.Send(event.sender, told)
 
 
@@ -311,7 +311,7 @@
         has_news = has_news or bool(logged)
         yield from logged
     if has_news:
-        told = _paces_told(board, service, now)
+        told = _make_answer(board, service, now)
         for host in reporters:
             yield actions.Send(host, told)
 
@@ -349,7 +349,7 @@
         )
 
 
-def _paces_told(
+def _make_answer(
     board: boards.Board, service: str, now: float
 ) -> messages.PacesTold:
     state = board.state(State)
@@ -368,7 +368,7 @@
 
 
 @handle.register
-def _paces_told_received(
+def _paces_told(
     event: messages.PacesTold, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
     state = board.state(State)
