Explain where a request would go with the code that decides

An operator could only guess from the logs why a replica got no requests. The command itself is not built.

--- a/packages/hemlockreel/hemlockreel/forwarding/ranking.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/ranking.py
@@ -74,6 +74,22 @@
         self.reservation_refused_at: dict[str, float] = {}
 
 
+class Rating(NamedTuple):
+    """What the place of a replica in the order follows from.
+
+    ``load`` is comparable among the replicas for one request; it includes what
+    its failures add. ``skip_chance`` is the chance that a request skips the
+    replica, see :data:`SKIPPED_PENALTY`.
+    """
+
+    instance: instances.Instance
+    is_in_backoff: bool
+    is_full: bool
+    is_limited: bool
+    load: float
+    skip_chance: float
+
+
 def rank(
     board: boards.Board, event: CandidatesRequested, now: float
 ) -> list[instances.Instance]:
@@ -81,19 +97,37 @@
 
     A random number breaks ties.
     """
-    known = board.state(instances.State)
+    is_first = board.rng.random() < LIMITED_FIRST_SHARE
+    ratings = rate(board, event, now)
+    skipped = {
+        each.instance.id
+        for each in ratings
+        if each.skip_chance and board.rng.random() < each.skip_chance
+    }
+
+    def key(each: Rating) -> tuple[bool, bool, bool, float, float]:
+        is_skipped = each.instance.id in skipped
+        return (
+            each.is_in_backoff,
+            each.is_full,
+            each.is_limited != is_first,
+            each.load + SKIPPED_PENALTY * is_skipped,
+            board.rng.random(),
+        )
+
+    return [each.instance for each in sorted(ratings, key=key)]
+
+
+def rate(
+    board: boards.Board, event: CandidatesRequested, now: float
+) -> list[Rating]:
+    """Returns the replicas that the request may go to, in no order."""
     found = [
         each
-        for each in instances.usable(known, event.service, now, event.stage)
-        if each.id not in event.exclude
-        and event.software in (None, each.software)
-        and not replica_pauses.is_paused(board, each, now)
-        and not (
-            event.stage is instances.Stage.PREFILL
-            and replica_health.loses_prefill_results(
-                board.state(replica_health.State), each.id, now
-            )
+        for each in instances.usable(
+            board.state(instances.State), event.service, now, event.stage
         )
+        if why_excluded(board, each, event, now) is None
     ]
     health = board.state(replica_health.State)
     rates = {
@@ -101,42 +135,64 @@
         for each in found
     }
     limited = replica_limits.limited(board)
-    is_first = board.rng.random() < LIMITED_FIRST_SHARE
     best = min(rates.values(), default=0.0)
-    skipped = _skip_slow(board, found, event.stage, now)
-
-    def key(each: instances.Instance) -> tuple[bool, bool, bool, float, float]:
+    chances = _skip_chances(board, found, event.stage, now)
+    ratings = []
+    for each in found:
         excess_failures = max(
             0.0, rates[each.id] - best - replica_health.FAILURE_RATE_TOLERANCE
         )
         load = _load(board, each, event, now)
-        if each.id in skipped:
-            load += SKIPPED_PENALTY
-        return (
-            replica_health.is_in_connect_backoff(health, each.id, now),
-            _is_full(board, each, event, now),
-            (each.id in limited) != is_first,
-            load + FAILURE_WEIGHT * excess_failures,
-            board.rng.random(),
+        ratings.append(
+            Rating(
+                each,
+                replica_health.is_in_connect_backoff(health, each.id, now),
+                _is_full(board, each, event, now),
+                each.id in limited,
+                load + FAILURE_WEIGHT * excess_failures,
+                chances.get(each.id, 0.0),
+            )
         )
+    return ratings
+
 
-    return sorted(found, key=key)
+def why_excluded(
+    board: boards.Board,
+    each: instances.Instance,
+    event: CandidatesRequested,
+    now: float,
+) -> str | None:
+    """Returns why a usable replica may not get this request, if so."""
+    if each.id in event.exclude:
+        return "it was tried before"
+    if event.software not in (None, each.software):
+        return f"its software is {each.software!r}"
+    if replica_pauses.is_paused(board, each, now):
+        return "it has asked this host for a pause"
+    if (
+        event.stage is instances.Stage.PREFILL
+        and replica_health.loses_prefill_results(
+            board.state(replica_health.State), each.id, now
+        )
+    ):
+        return "its results expire before they are used"
+    return None
 
 
-def _skip_slow(
+def _skip_chances(
     board: boards.Board,
     found: list[instances.Instance],
     stage: instances.Stage,
     now: float,
-) -> frozenset[str]:
-    """Returns the ids of the replicas that this request skips.
+) -> dict[str, float]:
+    """Returns the chance that a request skips a replica, if there is one.
 
     In a large fleet a host rarely has a request at any replica, so that its
     own load says nothing. So a replica of a quarter of the pace is skipped by
     three of four requests.
     """
     if stage is instances.Stage.PREFILL or len(found) < 2:
-        return frozenset()
+        return {}
     weights = {
         each.id: replica_pace.places(board, each, now)
         / max(each.slots, 1)
@@ -144,12 +200,11 @@
         for each in found
     }
     highest = max(weights.values())
-    return frozenset(
-        id
+    return {
+        id: 1 - max(weight / highest, TRIAL_SHARE)
         for id, weight in weights.items()
         if weight < highest
-        and board.rng.random() >= max(weight / highest, TRIAL_SHARE)
-    )
+    }
 
 
 def _prefill_s(
--- a/packages/hemlockreel/hemlockreel/forwarding/replica_selection.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/replica_selection.py
@@ -188,24 +188,8 @@
         yield actions.Reply(event.request_id, refused)
         return
     found = ranking.rank(board, event, now)
-    if not found and _is_version_gone(board, event, now):
-        refused = outcomes.not_run(
-            outcomes.Reason.STREAM_LOST,
-            detail=f"no replica of {event.software!r}, its version, is left",
-        )
-        yield actions.Reply(event.request_id, refused)
-        return
     if not found:
-        wait_s = _wait_for_paused_s(board, event, now)
-        if wait_s is not None:
-            detail = "all replicas have asked this host for a pause"
-            refused = outcomes.not_run(
-                outcomes.Reason.BACKEND_PAUSED, wait_s, detail
-            )
-            yield actions.Reply(event.request_id, refused)
-            return
-        reason = outcomes.Reason.NO_BACKEND
-        refused = outcomes.not_run(reason, NO_BACKEND_RETRY_AFTER_S)
+        refused = refusal_without_candidates(board, event, now)
         yield actions.Reply(event.request_id, refused)
         return
     if event.is_retry and not _take_retry(board, event.service, now):
@@ -230,6 +214,27 @@
     )
 
 
+def refusal_without_candidates(
+    board: boards.Board, event: ranking.CandidatesRequested, now: float
+) -> outcomes.Refused:
+    """Returns the refusal of a request that no replica may get."""
+    if _is_version_gone(board, event, now):
+        return outcomes.not_run(
+            outcomes.Reason.STREAM_LOST,
+            detail=f"no replica of {event.software!r}, its version, is left",
+        )
+    wait_s = _wait_for_paused_s(board, event, now)
+    if wait_s is not None:
+        return outcomes.not_run(
+            outcomes.Reason.BACKEND_PAUSED,
+            wait_s,
+            "all replicas have asked this host for a pause",
+        )
+    return outcomes.not_run(
+        outcomes.Reason.NO_BACKEND, NO_BACKEND_RETRY_AFTER_S
+    )
+
+
 def _is_version_gone(
     board: boards.Board, event: ranking.CandidatesRequested, now: float
 ) -> bool:
