--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
@@ -22,6 +22,7 @@
 from hemlockreel.forwarding import organisations
 from hemlockreel.forwarding import reachability
 from hemlockreel.forwarding import replica_limits
+from hemlockreel.forwarding import replica_pace
 from hemlockreel.forwarding import replica_pauses
 from hemlockreel.forwarding import replica_selection
 from hemlockreel.forwarding import retry_budget
@@ -65,6 +66,8 @@
     must know all changes made during it. ``is_first_start`` is set if no host
     of the deployment has run before. ``usage`` says how far all hosts together
     may exceed the cap of an organisation.
+    of the deployment has run before. ``learns_pace`` is cleared if all
+    replicas of a service count as alike.
     """
 
     grace_s: float
@@ -72,6 +75,7 @@
     settled_s: float = store_reader.DEFAULT_SETTLED_S
     is_first_start: bool = False
     usage: usage_bounds.UsageLimits = usage_bounds.UsageLimits()
+    learns_pace: bool = True
 
 
 class Forwarder:
@@ -105,6 +109,7 @@
         board.state(graceful_shutdown.State).grace_s = limits.grace_s
         board.state(retry_budget.State).retry_limits = limits.retries
         board.state(usage_lending.State).limits = limits.usage
+        board.state(replica_pace.State).is_enabled = limits.learns_pace
         board.state(store_era.State).is_first_start = limits.is_first_start
         loop = self.daemon.loop
         self.connector = connector.Connector(loop.post, loop.query)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/status.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/status.py
@@ -11,6 +11,7 @@
 from hemlockreel.forwarding import instances
 from hemlockreel.forwarding import ranking
 from hemlockreel.forwarding import replica_health
+from hemlockreel.forwarding import replica_pace
 from hemlockreel.forwarding import usage_caps
 from hemlockreel.forwarding import usage_lending
 
@@ -93,5 +94,7 @@
         "stage": each.stage.value,
         "usable": instances.is_usable(known, each.id, now),
         "failures": round(replica_health.failure_rate(seen, each.id, now), 3),
+        "pace": round(replica_pace.pace(board, each, now), 2),
+        "places": round(replica_pace.places(board, each, now), 1),
         "own_requests": own.running.get(each.id, 0),
     }
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/metrics.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/metrics.py
@@ -24,6 +24,7 @@
     "refused_by_cap": ("Requests above a cap.", ("organisation",)),
     "silent_lenders": ("Lenders of caps that were silent.", ()),
     "caps_without_lender": ("Requests whose cap no host lent.", ()),
+    "replica_paces": ("Changes of pace found by this host.", ()),
     "blocked_parts": ("Parts of prompts taken for crashing.", ()),
     "unknown_streams": ("Streams that could not be resumed.", ()),
     "late_moves": ("News of moves that a later one had undone.", ()),
