Share one view of each pool among all hosts

Each host saw only its own requests, so replicas turned away half of the arrivals while others had room. One host now gives the places of a pool; without its answer hosts go by their own view. Off unless the settings ask for it. Not measured yet.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
@@ -25,6 +25,7 @@
 from hemlockreel.forwarding import replica_pauses
 from hemlockreel.forwarding import replica_selection
 from hemlockreel.forwarding import retry_budget
+from hemlockreel.forwarding import shared_placement
 from hemlockreel.forwarding import store_fanout
 
 from .. import clock
@@ -61,13 +62,15 @@
     ``grace_s`` is the time between the request to stop and the kill signal,
     ``settled_s`` the time after a disturbance of the store within which a host
     must know all changes made during it. ``is_first_start`` is set if no host
-    of the deployment has run before.
+    of the deployment has run before. ``places_shared`` is set if hosts share
+    one view of the load of replicas.
     """
 
     grace_s: float
     retries: retry_budget.RetryLimits
     settled_s: float = store_reader.DEFAULT_SETTLED_S
     is_first_start: bool = False
+    places_shared: bool = False
 
 
 class Forwarder:
@@ -101,6 +104,7 @@
         board.state(graceful_shutdown.State).grace_s = limits.grace_s
         board.state(retry_budget.State).retry_limits = limits.retries
         board.state(store_era.State).is_first_start = limits.is_first_start
+        board.state(shared_placement.State).is_shared = limits.places_shared
         loop = self.daemon.loop
         self.connector = connector.Connector(loop.post, loop.query)
         backends.set_observer(self._observe_replica)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
@@ -188,6 +188,8 @@
                     instance.id, reserved.tokens, good
                 )
             )
+            reserved.place.succeeded = good is True
+            reserved.place.end()
 
     def _run_once(
         self, reserved: reservation.Reservation, result: RunResult
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/plain_requests.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/plain_requests.py
@@ -15,6 +15,7 @@
 from .. import http_calls
 from . import interfaces
 from . import request_handler
+from . import shared_places
 
 # Of the time left, for an attempt that another one may follow.
 FIRST_ATTEMPT_SHARE = 0.6
@@ -62,7 +63,15 @@
                     continue
                 return last or found
             sent = self.sent
-            result = self._attempt_first(found, until)
+            place = shared_places.Place(self, instances.Stage.PLAIN)
+            try:
+                ordered = self._order(found, place, until)
+                if isinstance(ordered, outcomes.Refused):
+                    return last or ordered
+                result = self._attempt_first(ordered, until)
+                place.succeeded = isinstance(result, Response)
+            finally:
+                place.end()
             if result is None:
                 return last or outcomes.not_run(
                     outcomes.Reason.NO_BACKEND, request_handler.RETRY_SOON_S
@@ -74,6 +83,27 @@
         reason = outcomes.Reason.OVERLOADED
         return last or outcomes.not_run(reason, request_handler.RETRY_SOON_S)
 
+    def _order(
+        self,
+        found: replica_selection.Candidates,
+        place: shared_places.Place,
+        until: float,
+    ) -> replica_selection.Candidates | outcomes.Refused:
+        """Puts the replica with room for this request first.
+
+        Returns the refusal if none will have room until ``until``.
+        """
+        if not found.is_shared:
+            return found
+        chosen = place.choose(found.instances, until)
+        if isinstance(chosen, outcomes.Refused):
+            return chosen
+        if chosen is None:
+            place.use(found.instances[0].id)
+            return found
+        others = [each for each in found.instances if each != chosen]
+        return found._replace(instances=(chosen, *others))
+
     def _attempt_first(
         self, found: replica_selection.Candidates, until: float
     ) -> Response | outcomes.Refused | None:
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/remote_prefill.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/remote_prefill.py
@@ -16,6 +16,7 @@
 from . import interfaces
 from . import progress
 from . import request_handler
+from . import shared_places
 
 MAX_ATTEMPTS = 2
 # Of the time that a replica keeps a result: an older one may expire before a
@@ -36,9 +37,11 @@
             return record.prefill_result
         free_result(handler, record)
     tokens = handler.job.request.demand.prompt
-    tried: tuple[str, ...] = ()
+    tried: list[str] = []
     for _ in range(MAX_ATTEMPTS):
-        found = handler.find_candidates(instances.Stage.PREFILL, tokens, tried)
+        found = handler.find_candidates(
+            instances.Stage.PREFILL, tokens, tuple(tried)
+        )
         if isinstance(found, outcomes.Refused):
             is_blocked = found.reason in request_handler.FINAL_REASONS
             return found if is_blocked else None
@@ -46,31 +49,74 @@
             record.deliveries or record.was_prefilled
         ) and not handler.take_retry():
             return None
-        instance = found.instances[0]
-        tried += (instance.id,)
-        if (
-            instance.id in found.limited
-            and handler.take_permit(instance) is not None
-        ):
-            continue
-        left_s = handler.left_s()
-        if handler.is_late(left_s):
-            return None
-        prefilled = _prefill_at(handler, record, instance, left_s)
-        if isinstance(prefilled, interfaces.PrefillResult):
+        place = shared_places.Place(handler, instances.Stage.PREFILL)
+        try:
+            prefilled = _attempt(handler, record, found, place, tried)
+        finally:
+            place.end()
+        if not isinstance(prefilled, interfaces.SendFailure):
             return prefilled
         if handler.box.stopped is not None:
             return None
         if prefilled.timed_out and not handler.sent:
             return handler.overloaded("the prefill queues are too long")
         if prefilled.instance_mismatch:
-            handler.post(replica_selection.InstanceMismatch(instance.id))
+            handler.post(replica_selection.InstanceMismatch(tried[-1]))
         handler.log(
-            "prefill_failed", replica=instance.id, detail=prefilled.detail
+            "prefill_failed", replica=tried[-1], detail=prefilled.detail
         )
     return None
 
 
+def _attempt(
+    handler: request_handler.RequestHandler,
+    record: progress.Progress,
+    found: replica_selection.Candidates,
+    place: shared_places.Place,
+    tried: list[str],
+) -> (
+    interfaces.PrefillResult | interfaces.SendFailure | outcomes.Refused | None
+):
+    """Has one replica process the prompt and adds its id to ``tried``."""
+    instance = _choose(handler, found, place, tuple(tried))
+    if isinstance(instance, outcomes.Refused):
+        return instance
+    tried.append(instance.id)
+    if instance.id in found.limited:
+        refused = handler.take_permit(instance)
+        if refused is not None:
+            return interfaces.SendFailure(
+                interfaces.Ran.NOT_SENT, refused.detail
+            )
+    left_s = handler.left_s()
+    if handler.is_late(left_s):
+        return None
+    prefilled = _prefill_at(handler, record, instance, left_s)
+    place.succeeded = isinstance(prefilled, interfaces.PrefillResult)
+    return prefilled
+
+
+def _choose(
+    handler: request_handler.RequestHandler,
+    found: replica_selection.Candidates,
+    place: shared_places.Place,
+    tried: tuple[str, ...],
+) -> instances.Instance | outcomes.Refused:
+    """Returns the replica for the prompt, or the refusal if all are late."""
+    if not found.is_shared:
+        return found.instances[0]
+    tokens = handler.job.request.demand.prompt
+    now = clock.now()
+    until = now + _wait_s(handler, now)
+    chosen = place.choose(found.instances, until, tokens, tried)
+    if isinstance(chosen, instances.Instance):
+        return chosen
+    if chosen is not None and not handler.sent:
+        return chosen
+    place.use(found.instances[0].id, tokens)
+    return found.instances[0]
+
+
 def _prefill_at(
     handler: request_handler.RequestHandler,
     record: progress.Progress,
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
@@ -17,6 +17,7 @@
 from hemlockreel.forwarding import ranking
 from hemlockreel.forwarding import replica_limits
 from hemlockreel.forwarding import replica_selection
+from hemlockreel.forwarding import shared_placement
 
 from .. import clock
 from .. import daemon as daemons
@@ -149,6 +150,7 @@
         self.tried: list[str] = []
         self.outcome = "failed"
         self._permits_asked = 0
+        self._places_asked = 0
 
     @property
     def caller_has_left(self) -> bool:
@@ -216,13 +218,19 @@
         return outcomes.not_run(outcomes.Reason.OVERLOADED, RETRY_SOON_S)
 
     def _receive(self, timeout_s: float) -> Any:
-        """Returns the next reply; a permit that came too late is none."""
+        """Returns the next reply; one that came too late is none.
+
+        That applies to permits and places, of which others may arrive.
+        """
         until = clock.now() + timeout_s
         while True:
             value = self.box.get(max(0.0, until - clock.now()))
-            if not isinstance(value, replica_limits.Permit):
+            expected = self._permits_asked
+            if isinstance(value, shared_placement.Answer):
+                expected = self._places_asked
+            elif not isinstance(value, replica_limits.Permit):
                 return value
-            if value.number == self._permits_asked:
+            if value.number == expected:
                 return value
 
     def take_permit(
@@ -262,6 +270,28 @@
             time.sleep(permit.after_s)
         return None
 
+    @property
+    def key(self) -> str:
+        """The id of the request's mailbox, unique among all hosts."""
+        return self._key
+
+    def next_place(self) -> int:
+        """Returns the number of the next ask for a place at a replica.
+
+        Answers to earlier ones are not received any more.
+        """
+        self._places_asked += 1
+        return self._places_asked
+
+    def receive_place(
+        self, timeout_s: float
+    ) -> shared_placement.Answer | outcomes.Refused | None:
+        """Returns the answer to the last ask, ``None`` if none arrives."""
+        value = self._receive(timeout_s)
+        if isinstance(value, mailbox.Stopped):
+            return outcomes.not_run(value.reason)
+        return value if isinstance(value, shared_placement.Answer) else None
+
     def check_usable(
         self, instance: instances.Instance, max_wait_s: float | None
     ) -> outcomes.Refused | None:
@@ -321,6 +351,16 @@
             detail,
         )
 
+    def out_of_room(self, after_s: float) -> outcomes.Refused:
+        """Returns the refusal while all replicas are full for ``after_s``.
+
+        The caller returns then at the earliest.
+        """
+        refused = self.overloaded(f"there is room in {after_s:.1f} s")
+        return refused._replace(
+            retry_after_s=max(after_s, refused.retry_after_s or 0.0)
+        )
+
     def report_broken(
         self,
         instance: instances.Instance,
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/reservation.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/reservation.py
@@ -17,6 +17,7 @@
 from . import interfaces
 from . import progress
 from . import request_handler
+from . import shared_places
 
 FIRST_PAUSE_S = 0.03  # between rounds of reservations; doubles
 MAX_PAUSE_S = 0.12
@@ -29,19 +30,36 @@
     """Memory and a slot at a decode replica.
 
     ``has_permit`` is set if the replica names a limit, and permits were taken
-    for the reservation and for the call that uses or releases it.
+    for the reservation and for the call that uses or releases it. ``place``
+    is the one in the view that hosts share.
     """
 
     instance: instances.Instance
     reservation_id: str
     tokens: int
-    has_permit: bool = False
+    has_permit: bool
+    place: shared_places.Place
 
 
 def reserve(
     handler: request_handler.RequestHandler, record: progress.Progress
 ) -> Reservation | outcomes.Refused:
     """Reserves memory for the prompt and the predicted output."""
+    place = shared_places.Place(handler, instances.Stage.DECODE)
+    reserved: Reservation | outcomes.Refused | None = None
+    try:
+        reserved = _reserve(handler, record, place)
+        return reserved
+    finally:
+        if not isinstance(reserved, Reservation):
+            place.end()
+
+
+def _reserve(
+    handler: request_handler.RequestHandler,
+    record: progress.Progress,
+    place: shared_places.Place,
+) -> Reservation | outcomes.Refused:
     job = handler.job
     pause_s = FIRST_PAUSE_S
     again = handler.sent or record.refused_runs
@@ -66,20 +84,15 @@
                 request_handler.RETRY_SOON_S,
                 "the replicas that this attempt may go to are not usable",
             )
-        for instance in eligible[:MAX_ASKED]:
-            is_limited = instance.id in found.limited
-            if (
-                is_limited
-                and handler.take_permit(instance, calls=2) is not None
-            ):
-                continue
-            reservation_id = _try_reserve(handler, instance, tokens)
-            if reservation_id is not None:
-                return Reservation(
-                    instance, reservation_id, tokens, is_limited
-                )
-            if handler.box.stopped is not None:
-                break
+        chosen = None
+        if found.is_shared and _may_share(handler, record):
+            chosen = place.choose(eligible, until, tokens)
+            if isinstance(chosen, outcomes.Refused):
+                return chosen
+        asked = [chosen] if chosen else eligible[:MAX_ASKED]
+        reserved = _ask(handler, found, asked, tokens, place)
+        if reserved is not None:
+            return reserved
         left_s = handler.left_s()
         if handler.is_late(left_s):
             return request_handler.late_refusal()
@@ -87,10 +100,50 @@
             return handler.overloaded(
                 f"no decode replica has room for {tokens} tokens"
             )
-        time.sleep(pause_s)
+        if chosen is None:
+            time.sleep(pause_s)
+            pause_s = min(2 * pause_s, MAX_PAUSE_S)
         if handler.box.stopped is not None:
             return outcomes.not_run(handler.box.stopped.reason)
-        pause_s = min(2 * pause_s, MAX_PAUSE_S)
+
+
+def _may_share(
+    handler: request_handler.RequestHandler, record: progress.Progress
+) -> bool:
+    """Returns whether the request may go to any replica of the pool.
+
+    Otherwise few are left, and this host knows them best.
+    """
+    return not record.reached_ids and handler.software is None
+
+
+def _ask(
+    handler: request_handler.RequestHandler,
+    found: replica_selection.Candidates,
+    asked: list[instances.Instance],
+    tokens: int,
+    place: shared_places.Place,
+) -> Reservation | None:
+    """Asks replicas one after the other for memory."""
+    for instance in asked:
+        is_limited = instance.id in found.limited
+        if is_limited and handler.take_permit(instance, calls=2) is not None:
+            place.reject(instance.id, is_full=False)
+            continue
+        reservation = _try_reserve(handler, instance, tokens)
+        if isinstance(reservation, str):
+            if found.is_shared:
+                place.use(instance.id, tokens)
+            return Reservation(
+                instance, reservation, tokens, is_limited, place
+            )
+        place.reject(
+            instance.id,
+            is_full=reservation.ran is not interfaces.Ran.NOT_SENT,
+        )
+        if handler.box.stopped is not None:
+            break
+    return None
 
 
 def _eligible(
@@ -113,7 +166,7 @@
     handler: request_handler.RequestHandler,
     instance: instances.Instance,
     tokens: int,
-) -> str | None:
+) -> str | interfaces.SendFailure:
     hold_s = handler.job.service.engine.hold_s
     response = handler.tools.backends.reserve(instance, tokens, hold_s)
     if isinstance(response, str):
@@ -122,4 +175,4 @@
         handler.post(replica_selection.ConnectFailed(instance.id))
     else:
         handler.post(replica_selection.ReservationRefused(instance.id, tokens))
-    return None
+    return response
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/status.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/status.py
@@ -11,6 +11,7 @@
 from hemlockreel.forwarding import instances
 from hemlockreel.forwarding import ranking
 from hemlockreel.forwarding import replica_health
+from hemlockreel.forwarding import shared_placement
 
 from .. import clock
 from .. import operators
@@ -36,6 +37,7 @@
         "routes": len(found.routes) if found else 0,
         "controller": bool(leader.lease_time_left(board, now)),
         "blocked_parts": _describe_blocked(board, now),
+        "pools": _describe_pools(board),
         "members": operators.describe_members(board),
         "replicas": [
             _describe(board, each, now)
@@ -44,6 +46,30 @@
     }
 
 
+def _describe_pools(board: boards.Board) -> list[Any]:
+    """Returns who gives the places of each pool, and what this host gave."""
+    state = board.state(shared_placement.State)
+    if not state.is_shared:
+        return []
+    known = {
+        (each.service, each.stage)
+        for each in board.state(instances.State).instances.values()
+    }
+    return [
+        {
+            "service": service,
+            "stage": stage.value,
+            "giver": shared_placement.giver(board, (service, stage)),
+            **(
+                shared_placement.describe(state.pools[service, stage])
+                if (service, stage) in state.pools
+                else {}
+            ),
+        }
+        for service, stage in sorted(known, key=str)
+    ]
+
+
 def _describe_blocked(board: boards.Board, now: float) -> list[Any]:
     return [
         {
--- a/packages/hemlockreel/hemlockreel/core.py
+++ b/packages/hemlockreel/hemlockreel/core.py
@@ -41,6 +41,7 @@
 from .forwarding import replica_limits
 from .forwarding import replica_pauses
 from .forwarding import replica_selection
+from .forwarding import shared_placement
 from .forwarding import stage_assignment
 from .forwarding import store_fanout
 from .forwarding import stream_records
@@ -89,6 +90,7 @@
     stream_versions,
     stream_records,
     replica_selection,
+    shared_placement,
     leader,
     stage_assignment,
     graceful_shutdown,
--- a/packages/hemlockreel/hemlockreel/forwarding/replica_selection.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/replica_selection.py
@@ -24,6 +24,7 @@
 from . import replica_limits
 from . import replica_pauses
 from . import retry_budget
+from . import shared_placement
 
 NO_BACKEND_RETRY_AFTER_S = 1.0
 # How long a mismatched replica is excluded. It rewrites its entry at each
@@ -44,12 +45,14 @@
     """The replicas to try, best first.
 
     ``reserve_tokens`` is the output to reserve memory for, ``limited`` the
-    ids of replicas that need a permit for each call.
+    ids of replicas that need a permit for each call. If ``is_shared``, another
+    host may know better: see :mod:`shared_placement`.
     """
 
     instances: tuple[instances.Instance, ...]
     reserve_tokens: int = 0
     limited: frozenset[str] = frozenset()
+    is_shared: bool = False
 
 
 class GenerationFinished(NamedTuple):
@@ -225,8 +228,10 @@
         event.estimated_output,
     )
     limited = replica_limits.limited(board)
+    is_shared = board.state(shared_placement.State).is_shared
     yield actions.Reply(
-        event.request_id, Candidates(tuple(found), reserve, limited)
+        event.request_id,
+        Candidates(tuple(found), reserve, limited, is_shared),
     )
 
 
--- a/packages/hemlockreel/hemlockreel/messages/__init__.py
+++ b/packages/hemlockreel/hemlockreel/messages/__init__.py
@@ -22,6 +22,13 @@
 from .parts import PromptPart
 from .parts import RunBroke
 from .paths import PauseTold
+from .placement import HeldPlace
+from .placement import PlaceAsked
+from .placement import PlaceFreed
+from .placement import PlaceGiven
+from .placement import PlaceQueued
+from .placement import PlaceRefused
+from .placement import PlacesHeld
 from .region import ListRead
 from .region import ReplicaChanging
 from .region import ReplicaLeaving
@@ -77,6 +84,7 @@
     "Heartbeat",
     "HeartbeatMismatch",
     "HeldGrant",
+    "HeldPlace",
     "ListRead",
     "MemberUpdate",
     "Message",
@@ -89,6 +97,12 @@
     "PermitGiven",
     "Ping",
     "PingRequest",
+    "PlaceAsked",
+    "PlaceFreed",
+    "PlaceGiven",
+    "PlaceQueued",
+    "PlaceRefused",
+    "PlacesHeld",
     "Prefilled",
     "PromptPart",
     "Queued",
--- a/packages/hemlockreel/hemlockreel/messages/wire.py
+++ b/packages/hemlockreel/hemlockreel/messages/wire.py
@@ -6,6 +6,7 @@
 from . import members
 from . import parts
 from . import paths
+from . import placement
 from . import region
 from . import replication
 from . import requests
@@ -50,6 +51,12 @@
     | parts.PartsWorked
     | parts.PartsJudged
     | paths.PauseTold
+    | placement.PlaceAsked
+    | placement.PlaceGiven
+    | placement.PlaceQueued
+    | placement.PlaceRefused
+    | placement.PlaceFreed
+    | placement.PlacesHeld
     | streams.StreamsBegun
     | streams.StreamAsked
     | streams.StreamKnown
