--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/shared_places.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/shared_places.py
@@ -129,7 +129,7 @@
                 return answer
             if answer is None or _is_queued(answer):
                 if clock.now() >= until:
-                    return None
+                    return handler.out_of_room(0.0)
                 continue
             if answer.replicas is None:
                 return handler.out_of_room(answer.after_s or 0.0)
--- a/packages/hemlockreel/hemlockreel/forwarding/pool_load.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/pool_load.py
@@ -45,6 +45,11 @@
         """Returns the cost of the places of an organisation."""
         return self._shares.get(organisation, 0)
 
+    @property
+    def total_cost(self) -> int:
+        """The cost of all places."""
+        return sum(self._shares.values())
+
     def holders(self) -> list[str]:
         """Returns the organisations that hold places."""
         return list(self._shares)
--- a/packages/hemlockreel/hemlockreel/forwarding/pool_placement.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/pool_placement.py
@@ -26,6 +26,11 @@
 # free slot takes a round trip to arrive.
 QUEUE_SHARE = 0.2
 MAX_AFTER_S = 10.0
+# An organisation that holds more than this share of a pool leaves some room at
+# each replica to the others, which would otherwise wait until a request of its
+# flood ends.
+FLOOD_SHARE = 1 / 3
+HEADROOM_SHARE = 0.15
 HOLD_TIME_GAIN = 0.05
 SPEED_GAIN = 0.1
 
@@ -205,6 +210,7 @@
         self, each: pool_queue.Waiting, kept: set[str], now: float
     ) -> str | None:
         """Returns the least loaded replica with room, ``None`` if none."""
+        limit = 1 - HEADROOM_SHARE if self._is_flooding(each) else math.inf
         best: tuple[float, float, str] | None = None
         for replica in self.replicas:
             if replica.id in each.exclude or replica.id in kept:
@@ -214,11 +220,22 @@
             if not self._has_room(replica, each, now):
                 continue
             load = self._load_with(replica, each.tokens)
+            if load > limit:
+                continue
             rank = (load, self._rng.random(), replica.id)
             if best is None or rank < best:
                 best = rank
         return None if best is None else best[2]
 
+    def _is_flooding(self, each: pool_queue.Waiting) -> bool:
+        """Returns whether an organisation takes much of what others share."""
+        wants = self.load.held_by(each.organisation)
+        wants += pool_load.cost(each.tokens)
+        return (
+            wants > FLOOD_SHARE * self.capacity
+            and len(self.load.holders()) > 1
+        )
+
     def _has_room(
         self, replica: Replica, each: pool_queue.Waiting, now: float
     ) -> bool:
@@ -295,9 +312,7 @@
                 (self.busy_s(each.id) for each in self.replicas), default=0.0
             )
             return {each.key: shortest for each in ordered}
-        held = sum(
-            pool_load.cost(each.tokens) for each in self.load.places.values()
-        )
+        held = self.load.total_cost
         if self._hold_s is None or not held:
             return {each.key: 0.0 for each in ordered}
         rate = held / max(self._hold_s.value, 0.001)
