--- a/packages/hemlockreel/hemlockreel/forwarding/pool_placement.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/pool_placement.py
@@ -31,6 +31,11 @@
 # flood ends.
 FLOOD_SHARE = 1 / 3
 HEADROOM_SHARE = 0.15
+# A request this many times as large as the mean needs room that requests of
+# usual size would take bit by bit. Once one was refused, they leave one
+# replica alone for so long, until such a request gets its place.
+LARGE_FACTOR = 2.0
+KEPT_S = 3.0
 HOLD_TIME_GAIN = 0.05
 SPEED_GAIN = 0.1
 
@@ -85,6 +90,8 @@
         self._rng = rng
         self._full_until: dict[str, float] = {}
         self._speeds: dict[str, running_stats.MovingAverage] = {}
+        self._large_tokens = 0
+        self._kept_until = -math.inf
         self._hold_s: running_stats.MovingAverage | None = None
 
     @property
@@ -124,7 +131,7 @@
             return decisions
         after_s = self._waits(now).get(asked.key, 0.0)
         if self._is_hopeless(asked, after_s, now):
-            return [*decisions, self._refuse(asked, after_s)]
+            return [*decisions, self._refuse(asked, after_s, now)]
         return [*decisions, Queued(asked)]
 
     def free(self, key: str, succeeded: bool, now: float) -> list[Decision]:
@@ -153,7 +160,7 @@
         waits = self._waits(now)
         for each in list(self.queue.waiting.values()):
             if self._is_hopeless(each, waits[each.key], now):
-                decisions.append(self._refuse(each, waits[each.key]))
+                decisions.append(self._refuse(each, waits[each.key], now))
         return decisions
 
     def serve(self, now: float) -> list[Decision]:
@@ -173,9 +180,14 @@
     def _serve_first(self, now: float) -> Given | None:
         """Gives a place to the first that there is room for."""
         kept: set[str] = set()
+        for_large = self._kept_for_large(now)
         for each in self.queue.ordered(self.load, self.capacity):
-            found = self._choose(each, kept, now)
+            is_large = each.tokens >= self._large_tokens
+            others = kept if is_large else kept | for_large
+            found = self._choose(each, others, now)
             if found is not None:
+                if is_large:
+                    self._kept_until = now
                 self.queue.take(each)
                 ahead = self.load.tokens(found)
                 place = pool_load.Place(
@@ -184,13 +196,22 @@
                 self.load.put(each.key, place)
                 self.given += 1
                 return Given(each, found)
-            most = self._most_room(each, kept)
+            most = self._most_room(each, others)
             if most is not None:
                 kept.add(most)
             if len(kept) >= len(self.replicas):
                 break
         return None
 
+    def _kept_for_large(self, now: float) -> set[str]:
+        """Returns the replica that only a large request may use now."""
+        if now >= self._kept_until or len(self.replicas) < 2:
+            return set()
+        emptiest = min(
+            self.replicas, key=lambda each: self.load.tokens(each.id)
+        )
+        return {emptiest.id}
+
     @property
     def capacity(self) -> float:
         """The cost of all places of the pool."""
@@ -332,7 +353,13 @@
             return True
         return now + after_s > each.until and not self.queue.is_only_one(each)
 
-    def _refuse(self, each: pool_queue.Waiting, after_s: float) -> Refused:
+    def _refuse(
+        self, each: pool_queue.Waiting, after_s: float, now: float
+    ) -> Refused:
         self.queue.waiting.pop(each.key, None)
         self.refused += 1
+        count = max(len(self.load.places), 1)
+        if each.tokens > LARGE_FACTOR * self.load.total_cost / count:
+            self._large_tokens = each.tokens
+            self._kept_until = now + KEPT_S
         return Refused(each, after_s)
