--- a/tests/hemlockreel_platform/test_settings.py
+++ b/tests/hemlockreel_platform/test_settings.py
@@ -37,6 +37,21 @@
     assert loaded.daemon.responses.limits.event_bytes == 4096
 
 
+@pytest.mark.parametrize(
+    ("lines", "expected"),
+    [
+        ("", False),
+        ("contracts=base,pool", False),
+        ("contracts=base, pressure,pool", True),
+        ("contracts=pressure\nplacement.shared=false", False),
+        ("placement.shared=true", True),
+    ],
+)
+def test_places_are_shared_where_few_replicas_serve_many(lines, expected):
+    loaded = settings.decode(settings.parse(LINES + lines))
+    assert loaded.limits.places_shared is expected
+
+
 @pytest.mark.parametrize(
     ("text", "message"),
     [
@@ -46,6 +61,7 @@
         (LINES + "\nresponses.body_bytes=x", r"responses: .*\.body_bytes"),
         (LINES + "\nresponses.event_bytes=999999999", r"\.event_bytes"),
         (LINES.replace("grace_s=8", "grace_s=x"), "expected a number"),
+        (LINES + "placement.shared=1", "expected true or false"),
     ],
 )
 def test_error_names_wrong_setting(tmp_path, text, message):
