--- a/packages/hemlockreel/hemlockreel/forwarding/pool_placement.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/pool_placement.py
@@ -179,6 +179,8 @@
 
     def _serve_first(self, now: float) -> Given | None:
         """Gives a place to the first that there is room for."""
+        if not self._has_any_room(now):
+            return None
         kept: set[str] = set()
         for_large = self._kept_for_large(now)
         for each in self.queue.ordered(self.load, self.capacity):
@@ -203,6 +205,20 @@
                 break
         return None
 
+    def _has_any_room(self, now: float) -> bool:
+        """Returns whether some replica has room for the smallest request.
+
+        Most often none has while requests wait, and their order isn't needed.
+        """
+        smallest = min(
+            self.queue.waiting.values(), key=lambda each: each.tokens
+        )._replace(until=math.inf)
+        return any(
+            now >= self._full_until.get(replica.id, now)
+            and self._has_room(replica, smallest, now)
+            for replica in self.replicas
+        )
+
     def _kept_for_large(self, now: float) -> set[str]:
         """Returns the replica that only a large request may use now."""
         if now >= self._kept_until or len(self.replicas) < 2:
--- a/packages/hemlockreel/hemlockreel/forwarding/pool_queue.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/pool_queue.py
@@ -49,14 +49,14 @@
         """
         if len(self.waiting) < 2:
             return list(self.waiting.values())
-        level = self._level(load, capacity)
+        demands = self._demands(load)
+        level = max_min_level(demands.values(), capacity)
+        held = {name: load.held_by(name) for name in demands}
 
         def key(each: Waiting) -> tuple[bool, int, int, float, str]:
-            held = load.held_by(each.organisation)
-            is_above = held > 0 and (
-                held + pool_load.cost(each.tokens) > level
-            )
-            return (is_above, each.priority, held, each.asked_at, each.key)
+            own = held[each.organisation]
+            is_above = own > 0 and own + max(each.tokens, 1) > level
+            return (is_above, each.priority, own, each.asked_at, each.key)
 
         result = sorted(self.waiting.values(), key=key)
         oldest = min(result, key=lambda each: each.asked_at)
@@ -86,13 +86,14 @@
             for other in self.waiting.values()
         )
 
-    def _level(self, load: pool_load.PoolLoad, capacity: float) -> float:
+    def _demands(self, load: pool_load.PoolLoad) -> dict[str, int]:
+        """Returns what each organisation holds and waits for."""
         demands = {name: load.held_by(name) for name in load.holders()}
         for each in self.waiting.values():
             demands[each.organisation] = demands.get(
                 each.organisation, 0
             ) + pool_load.cost(each.tokens)
-        return max_min_level(demands.values(), capacity)
+        return demands
 
 
 def max_min_level(demands: Iterable[float], capacity: float) -> float:
