--- a/packages/hemlockreel/hemlockreel/forwarding/shared_placement.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/shared_placement.py
@@ -101,7 +101,8 @@
 class Held(NamedTuple):
     """A place that this host has asked for.
 
-    ``replica`` is empty until it is given.
+    ``replica`` is empty until it is given. ``request_id`` is empty once the
+    worker has decided by itself.
     """
 
     request_id: str
@@ -220,7 +221,7 @@
 ) -> Iterable[actions.Action]:
     state = board.state(State)
     known = state.held.get(event.key)
-    if known is None:
+    if known is None or not known.request_id:
         return
     if event.replicas:
         state.held[event.key] = known._replace(replica=event.replicas[0])
--- a/packages/hemlockreel/tests/forwarding/test_shared_placement.py
+++ b/packages/hemlockreel/tests/forwarding/test_shared_placement.py
@@ -214,6 +214,16 @@
     assert hosts.answers[key].replicas
 
 
+def test_an_answer_that_came_too_late_changes_nothing():
+    hosts = Hosts()
+    host = next(name for name in hosts.names if name != hosts.giver)
+    key = hosts.ask(host)
+    used = shared_placement.PlaceUsed(key, "d3", *POOL, 1000, "")
+    hosts.fabric.post(host, used)
+    hosts.fabric.run(0.1)
+    assert hosts.in_use() == hosts.known() == {key: "d3"}
+
+
 def test_a_stage_of_a_later_build_is_ignored():
     hosts = Hosts()
     asked = messages.PlaceAsked(
