--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
@@ -26,6 +26,7 @@
 from hemlockreel.forwarding import replica_pauses
 from hemlockreel.forwarding import replica_selection
 from hemlockreel.forwarding import retry_budget
+from hemlockreel.forwarding import shared_placement
 from hemlockreel.forwarding import store_fanout
 from hemlockreel.forwarding import usage_bounds
 from hemlockreel.forwarding import usage_lending
@@ -65,9 +66,9 @@
     ``settled_s`` the time after a disturbance of the store within which a host
     must know all changes made during it. ``is_first_start`` is set if no host
     of the deployment has run before. ``usage`` says how far all hosts together
-    may exceed the cap of an organisation.
-    of the deployment has run before. ``learns_pace`` is cleared if all
-    replicas of a service count as alike.
+    may exceed the cap of an organisation. ``learns_pace`` is cleared if all
+    replicas of a service count as alike, ``places_shared`` set if hosts share
+    one view of the load of replicas.
     """
 
     grace_s: float
@@ -76,6 +77,7 @@
     is_first_start: bool = False
     usage: usage_bounds.UsageLimits = usage_bounds.UsageLimits()
     learns_pace: bool = True
+    places_shared: bool = False
 
 
 class Forwarder:
@@ -111,6 +113,7 @@
         board.state(usage_lending.State).limits = limits.usage
         board.state(replica_pace.State).is_enabled = limits.learns_pace
         board.state(store_era.State).is_first_start = limits.is_first_start
+        board.state(shared_placement.State).is_shared = limits.places_shared
         loop = self.daemon.loop
         self.connector = connector.Connector(loop.post, loop.query)
         backends.set_observer(self._observe_replica)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/status.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/status.py
@@ -12,6 +12,7 @@
 from hemlockreel.forwarding import ranking
 from hemlockreel.forwarding import replica_health
 from hemlockreel.forwarding import replica_pace
+from hemlockreel.forwarding import shared_placement
 from hemlockreel.forwarding import usage_caps
 from hemlockreel.forwarding import usage_lending
 
@@ -41,6 +42,7 @@
         "blocked_parts": _describe_blocked(board, now),
         "members": member_status.describe(board),
         "caps": _describe_caps(board, now),
+        "pools": _describe_pools(board),
         "replicas": [
             _describe(board, each, now)
             for each in board.state(instances.State).instances.values()
@@ -71,6 +73,30 @@
     ]
 
 
+def _describe_pools(board: boards.Board) -> list[Any]:
+    """Returns who gives the places of each pool, and what this host gave."""
+    state = board.state(shared_placement.State)
+    if not state.is_shared:
+        return []
+    known = {
+        (each.service, each.stage)
+        for each in board.state(instances.State).instances.values()
+    }
+    return [
+        {
+            "service": service,
+            "stage": stage.value,
+            "giver": shared_placement.giver(board, (service, stage)),
+            **(
+                shared_placement.describe(state.pools[service, stage])
+                if (service, stage) in state.pools
+                else {}
+            ),
+        }
+        for service, stage in sorted(known, key=str)
+    ]
+
+
 def _describe_blocked(board: boards.Board, now: float) -> list[Any]:
     return [
         {
--- a/packages/hemlockreel/hemlockreel/messages/wire.py
+++ b/packages/hemlockreel/hemlockreel/messages/wire.py
@@ -7,6 +7,7 @@
 from . import paces
 from . import parts
 from . import paths
+from . import placement
 from . import region
 from . import replication
 from . import requests
@@ -54,6 +55,12 @@
     | parts.PartsWorked
     | parts.PartsJudged
     | paths.PauseTold
+    | placement.PlaceAsked
+    | placement.PlaceGiven
+    | placement.PlaceQueued
+    | placement.PlaceRefused
+    | placement.PlaceFreed
+    | placement.PlacesHeld
     | streams.StreamsBegun
     | streams.StreamAsked
     | streams.StreamKnown
