--- a/packages/hemlockreel-daemon/hemlockreel_daemon/bounded_sockets.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/bounded_sockets.py
@@ -67,21 +67,30 @@
         self._ends_at = math.inf
         self._left_bytes = math.inf
         self._is_shut = False
+        self._has_written = False
         self._had_input = False
         self._refuses_end = False
 
     def begin_request(self) -> None:
         """Notes that what is written from now on is another request."""
-        self._had_input = self._refuses_end = False
+        self._has_written = self._had_input = self._refuses_end = False
 
     def sendall(self, data: Any, *flags: int) -> None:
-        """Writes like a socket, and looks for input before the last bytes."""
-        view = memoryview(data)
-        if len(view) > LAST_BYTES:
+        """Writes like a socket, and looks for input before the last bytes.
+
+        A request is written in one call or more; only before the first bytes
+        there is nothing to look for.
+        """
+        if len(data) > LAST_BYTES:
+            view = memoryview(data)
             super().sendall(view[:-LAST_BYTES], *flags)
             self._limit_wait()
-        self._had_input = self._had_input or tcp_states.has_input(self)
-        super().sendall(view[-LAST_BYTES:], *flags)
+            data = view[-LAST_BYTES:]
+            self._has_written = True
+        if self._has_written and not self._had_input:
+            self._had_input = tcp_states.unread_bytes(self) > 0
+        self._has_written = True
+        super().sendall(data, *flags)
 
     def take_is_early(self) -> bool:
         """Returns whether the head that was read began before its request.
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/tcp_states.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/tcp_states.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import fcntl
-import select
 import socket
 import sys
 import termios
@@ -11,14 +10,6 @@
 _COUNT = bytes(4)
 
 
-def has_input(sock: socket.socket) -> bool:
-    """Returns whether bytes, or the end of the connection, have arrived."""
-    poll = select.poll()
-    with contextlib.suppress(ValueError):  # the socket is closed
-        poll.register(sock, select.POLLIN | select.POLLRDHUP)
-    return bool(poll.poll(0))
-
-
 def unread_bytes(sock: socket.socket) -> int:
     """Returns the number of bytes that have arrived and were not read."""
     return _to_count(fcntl.ioctl(sock, termios.FIONREAD, _COUNT))
