Refuse a taken key also where the store can't be read

Cause: a host learned from others only that there is a newer deployment, and read it from the store itself.

Change: such a host asks a host with a newer version for its organisations (names, digests of keys, priorities, caps) and applies them to the routes it has, never older ones. With bounds.revoke_strict, a host whose keys nothing has confirmed for bounds.revoke_ms answers 503 to requests that need one.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
@@ -19,6 +19,7 @@
 from hemlockreel.forwarding import deployments
 from hemlockreel.forwarding import graceful_shutdown
 from hemlockreel.forwarding import instances
+from hemlockreel.forwarding import organisation_news
 from hemlockreel.forwarding import organisations
 from hemlockreel.forwarding import reachability
 from hemlockreel.forwarding import replica_limits
@@ -64,7 +65,8 @@
     ``settled_s`` the time after a disturbance of the store within which a host
     must know all changes made during it. ``is_first_start`` is set if no host
     of the deployment has run before. ``usage`` says how far all hosts together
-    may exceed the cap of an organisation.
+    may exceed the cap of an organisation, ``keys`` how long a host may accept
+    keys that nothing has confirmed.
     """
 
     grace_s: float
@@ -72,6 +74,7 @@
     settled_s: float = store_reader.DEFAULT_SETTLED_S
     is_first_start: bool = False
     usage: usage_bounds.UsageLimits = usage_bounds.UsageLimits()
+    keys: organisation_news.RevokeLimits = organisation_news.RevokeLimits()
 
 
 class Forwarder:
@@ -96,6 +99,7 @@
         self.gives_up_at = math.inf
         self.listed = False
         self.ready = False
+        self._keys_trusted_until = math.inf
         self._limited: frozenset[str] = frozenset()
         self._created = clock.now()
         self.daemon = daemons.Daemon(
@@ -105,6 +109,7 @@
         board.state(graceful_shutdown.State).grace_s = limits.grace_s
         board.state(retry_budget.State).retry_limits = limits.retries
         board.state(usage_lending.State).limits = limits.usage
+        board.state(organisation_news.State).limits = limits.keys
         board.state(store_era.State).is_first_start = limits.is_first_start
         loop = self.daemon.loop
         self.connector = connector.Connector(loop.post, loop.query)
@@ -208,6 +213,7 @@
         self.phase = graceful_shutdown.phase(board, now)
         self.gives_up_at = graceful_shutdown.gives_up_at(board)
         self._limited = replica_limits.limited(board)
+        self._keys_trusted_until = organisation_news.trusted_until(board)
         reach = board.state(reachability.State)
         self.connector.helped = reach.helped
         self.connector.watched = reach.watched
@@ -334,6 +340,12 @@
             )
         holder = None
         if found.organisations and not route.is_open:
+            if arrived > self._keys_trusted_until:
+                return outcomes.not_run(
+                    outcomes.Reason.STORE_UNAVAILABLE,
+                    NOT_READY_RETRY_AFTER_S,
+                    "nothing has confirmed the keys for long",
+                )
             holder = organisations.find(
                 found.organisations, request.key_digest
             )
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/metrics.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/metrics.py
@@ -21,6 +21,7 @@
     "leaving_replicas": ("Replicas that told this host that they leave.", ()),
     "replica_pauses": ("Pauses that replicas asked of this host.", ()),
     "replica_limits": ("News of limits that replicas name.", ()),
+    "organisation_news": ("Newer organisations taken from a peer.", ()),
     "refused_by_cap": ("Requests above a cap.", ("organisation",)),
     "silent_lenders": ("Lenders of caps that were silent.", ()),
     "caps_without_lender": ("Requests whose cap no host lent.", ()),
--- a/packages/hemlockreel/hemlockreel/core.py
+++ b/packages/hemlockreel/hemlockreel/core.py
@@ -37,6 +37,7 @@
 from .forwarding import blocked_parts
 from .forwarding import graceful_shutdown
 from .forwarding import instance_updates
+from .forwarding import organisation_news
 from .forwarding import reachability
 from .forwarding import replica_limits
 from .forwarding import replica_pauses
@@ -83,6 +84,7 @@
     active_deployment,
     instance_updates,
     store_fanout,
+    organisation_news,
     reachability,
     replica_pauses,
     replica_limits,
--- a/packages/hemlockreel/hemlockreel/forwarding/usage_caps.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/usage_caps.py
@@ -300,13 +300,12 @@
     need: float,
     extra: float,
 ) -> messages.Want:
-    found = active_deployment.current(board)
     return messages.Want(
         organisation,
         need,
         extra,
         cap.cost(None),
-        found.version if found else 0,
+        active_deployment.organisations_version(board),
         cap.rate,
         cap.burst,
         cap.unit.value,
--- a/packages/hemlockreel/hemlockreel/forwarding/usage_lending.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/usage_lending.py
@@ -166,7 +166,8 @@
     found = active_deployment.current(board)
     if found is None or not found.organisations:
         return ()
-    basis = (membership.table(board).version, found.version)
+    version = active_deployment.organisations_version(board)
+    basis = (membership.table(board).version, version)
     if basis == state.basis or not has_settled(board, now):
         return ()
     state.basis = basis
@@ -226,8 +227,7 @@
 
     It is ``None`` if there is no such cap.
     """
-    found = active_deployment.current(board)
-    if found is not None and found.version >= want.version:
+    if active_deployment.organisations_version(board) >= want.version:
         cap = find_cap(board, want.organisation)
     else:
         try:
--- a/packages/hemlockreel/hemlockreel/messages/__init__.py
+++ b/packages/hemlockreel/hemlockreel/messages/__init__.py
@@ -16,6 +16,9 @@
 from .members import PingRequest
 from .members import Sync
 from .members import SyncRequest
+from .organisations import KnownOrganisation
+from .organisations import OrganisationsAsked
+from .organisations import OrganisationsKnown
 from .parts import BlockedPart
 from .parts import PartsJudged
 from .parts import PartsWorked
@@ -82,12 +85,15 @@
     "Heartbeat",
     "HeartbeatMismatch",
     "HeldGrant",
+    "KnownOrganisation",
     "ListRead",
     "Loan",
     "MemberUpdate",
     "Message",
     "Moved",
     "NotOwner",
+    "OrganisationsAsked",
+    "OrganisationsKnown",
     "PartsJudged",
     "PartsWorked",
     "PauseTold",
--- a/packages/hemlockreel/hemlockreel/messages/wire.py
+++ b/packages/hemlockreel/hemlockreel/messages/wire.py
@@ -4,6 +4,7 @@
 
 from . import limits
 from . import members
+from . import organisations
 from . import parts
 from . import paths
 from . import region
@@ -47,6 +48,8 @@
     | limits.ReplicaLimited
     | limits.PermitAsked
     | limits.PermitGiven
+    | organisations.OrganisationsAsked
+    | organisations.OrganisationsKnown
     | parts.RunBroke
     | parts.PartsWorked
     | parts.PartsJudged
--- a/standins/hemlockreel_standins/feed_rig.py
+++ b/standins/hemlockreel_standins/feed_rig.py
@@ -15,6 +15,7 @@
 from hemlockreel.forwarding import active_deployment
 from hemlockreel.forwarding import deployments
 from hemlockreel.forwarding import instances
+from hemlockreel.forwarding import organisations
 from hemlockreel.forwarding import store_fanout
 
 from . import fabric
@@ -69,6 +70,7 @@
         self.calls = dict.fromkeys(store_fanout.ObjectKind, 0)
         self.unreachable: set[str] = set()
         self.services: dict[str, deployments.Service] = {}
+        self.organisations: tuple[organisations.Organisation, ...] = ()
         self.era = 1
         self.lease: dict[str, Any] | None = None
         self.present: dict[str, instances.Instance] = {}
@@ -285,7 +287,12 @@
         if kind is store_fanout.ObjectKind.DEPLOYMENT:
             if self.version_at <= found.since:
                 return []
-            made = deployments.Deployment(self.version, (), self.services)
+            made = deployments.Deployment(
+                self.version,
+                (),
+                self.services,
+                organisations=self.organisations,
+            )
             return [
                 active_deployment.DeploymentRead(made),
                 store_fanout.StoreRead(
--- a/tests/hemlockreel_platform/test_settings.py
+++ b/tests/hemlockreel_platform/test_settings.py
@@ -36,6 +36,13 @@
     assert usage == (8.0, 0.2, 120000.0)
 
 
+def test_limits_of_keys_are_decoded():
+    assert settings.decode(settings.parse(LINES)).limits.keys == (False, 5.0)
+    text = LINES + "bounds.revoke_strict=true\nbounds.revoke_ms=3000\n"
+    keys = settings.decode(settings.parse(text)).limits.keys
+    assert keys == (True, 3.0)
+
+
 def test_limits_of_responses_and_the_first_start_are_decoded():
     text = LINES + "bootstrap=true\nresponses.event_bytes=4096\n"
     loaded = settings.decode(settings.parse(text))
