--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
@@ -19,6 +19,7 @@
 from hemlockreel.forwarding import deployments
 from hemlockreel.forwarding import graceful_shutdown
 from hemlockreel.forwarding import instances
+from hemlockreel.forwarding import organisation_news
 from hemlockreel.forwarding import organisations
 from hemlockreel.forwarding import reachability
 from hemlockreel.forwarding import replica_limits
@@ -66,9 +67,10 @@
     ``settled_s`` the time after a disturbance of the store within which a host
     must know all changes made during it. ``is_first_start`` is set if no host
     of the deployment has run before. ``usage`` says how far all hosts together
-    may exceed the cap of an organisation. ``learns_pace`` is cleared if all
-    replicas of a service count as alike, ``places_shared`` set if hosts share
-    one view of the load of replicas.
+    may exceed the cap of an organisation, ``keys`` how long a host may accept
+    keys that nothing has confirmed. ``learns_pace`` is cleared if all replicas
+    of a service count as alike, ``places_shared`` set if hosts share one view
+    of the load of replicas.
     """
 
     grace_s: float
@@ -78,6 +80,7 @@
     usage: usage_bounds.UsageLimits = usage_bounds.UsageLimits()
     learns_pace: bool = True
     places_shared: bool = False
+    keys: organisation_news.RevokeLimits = organisation_news.RevokeLimits()
 
 
 class Forwarder:
@@ -102,6 +105,7 @@
         self.gives_up_at = math.inf
         self.listed = False
         self.ready = False
+        self._keys_trusted_until = math.inf
         self._limited: frozenset[str] = frozenset()
         self._created = clock.now()
         self.daemon = daemons.Daemon(
@@ -112,6 +116,7 @@
         board.state(retry_budget.State).retry_limits = limits.retries
         board.state(usage_lending.State).limits = limits.usage
         board.state(replica_pace.State).is_enabled = limits.learns_pace
+        board.state(organisation_news.State).limits = limits.keys
         board.state(store_era.State).is_first_start = limits.is_first_start
         board.state(shared_placement.State).is_shared = limits.places_shared
         loop = self.daemon.loop
@@ -216,6 +221,7 @@
         self.phase = graceful_shutdown.phase(board, now)
         self.gives_up_at = graceful_shutdown.gives_up_at(board)
         self._limited = replica_limits.limited(board)
+        self._keys_trusted_until = organisation_news.trusted_until(board)
         reach = board.state(reachability.State)
         self.connector.helped = reach.helped
         self.connector.watched = reach.watched
@@ -342,6 +348,12 @@
             )
         holder = None
         if found.organisations and not route.is_open:
+            if arrived > self._keys_trusted_until:
+                return outcomes.not_run(
+                    outcomes.Reason.STORE_UNAVAILABLE,
+                    NOT_READY_RETRY_AFTER_S,
+                    "nothing has confirmed the keys for long",
+                )
             holder = organisations.find(
                 found.organisations, request.key_digest
             )
--- a/packages/hemlockreel/hemlockreel/messages/__init__.py
+++ b/packages/hemlockreel/hemlockreel/messages/__init__.py
@@ -16,6 +16,9 @@
 from .members import PingRequest
 from .members import Sync
 from .members import SyncRequest
+from .organisations import KnownOrganisation
+from .organisations import OrganisationsAsked
+from .organisations import OrganisationsKnown
 from .paces import PacesTold
 from .paces import ReplicaPace
 from .paces import ReplicaTimes
@@ -94,12 +97,15 @@
     "HeartbeatMismatch",
     "HeldGrant",
     "HeldPlace",
+    "KnownOrganisation",
     "ListRead",
     "Loan",
     "MemberUpdate",
     "Message",
     "Moved",
     "NotOwner",
+    "OrganisationsAsked",
+    "OrganisationsKnown",
     "PacesTold",
     "PartsJudged",
     "PartsWorked",
--- a/packages/hemlockreel/hemlockreel/messages/wire.py
+++ b/packages/hemlockreel/hemlockreel/messages/wire.py
@@ -4,6 +4,7 @@
 
 from . import limits
 from . import members
+from . import organisations
 from . import paces
 from . import parts
 from . import paths
@@ -51,6 +52,8 @@
     | limits.PermitGiven
     | paces.TimesReported
     | paces.PacesTold
+    | organisations.OrganisationsAsked
+    | organisations.OrganisationsKnown
     | parts.RunBroke
     | parts.PartsWorked
     | parts.PartsJudged
