--- a/packages/hemlockreel/hemlockreel/forwarding/pace_estimates.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/pace_estimates.py
@@ -238,7 +238,7 @@
         if each.hosts == 1 and most_hosts > 1:
             continue
         difference = typical - each.log_s
-        is_known = id in learned and learned[id].log_pace != 0.0
+        is_known = id in learned and learned[id].log_pace * difference > 0
         margin = KEPT_MARGIN
         if not is_known:
             error = math.hypot(each.error, typical_error)
--- a/packages/hemlockreel/tests/forwarding/test_pace_estimates.py
+++ b/packages/hemlockreel/tests/forwarding/test_pace_estimates.py
@@ -100,3 +100,15 @@
     assert rooms == sorted(rooms)
     assert rooms[3] < 0.7
     assert rooms[-1] == 1.0
+
+
+def test_a_slow_replica_isnt_taken_for_a_fast_one_at_once():
+    """Load: a slow replica that recovers, with few and varying answers."""
+    learned = {"c": pace_estimates.Learned(BORN, math.log(0.4))}
+    found = {
+        id: pace_estimates.Summary(math.log(time), 0.2, 2, 1.0)
+        for id, time in (("a", 0.1), ("b", 0.1), ("c", 0.075))
+    }
+    assert pace_estimates.compare(found, learned)["c"] == 0.0
+    found["c"] = found["c"]._replace(log_s=math.log(0.13))
+    assert pace_estimates.compare(found, learned)["c"] < 0.0
