--- a/standins/hemlockreel_standins/platform_site.py
+++ b/standins/hemlockreel_standins/platform_site.py
@@ -72,6 +72,7 @@
         store: str,
         number: int,
         seeds: tuple[str, ...] = (),
+        more: tuple[str, ...] = (),
     ):
         ports = [processes.free_port() for _ in range(4)]
         names = ("frontend", "ready", "control_plane", "directory")
@@ -93,6 +94,7 @@
             "bounds.retry_budget_slack=100",
             f"operators_port={operators}",
             f"paths_port={paths}",
+            *more,
             *(f"listen.{name}={each}" for name, each in self.listen.items()),
         ]
         self.settings.write_text("\n".join(lines) + "\n")
@@ -133,9 +135,17 @@
 
 
 class Site:
-    """A store, replicas and daemons, as a context manager that stops them."""
+    """A store, replicas and daemons, as a context manager that stops them.
 
-    def __init__(self, folder: pathlib.Path, daemons: int = 1):
+    ``more`` are further lines of the daemons' settings files.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        daemons: int = 1,
+        more: tuple[str, ...] = (),
+    ):
         self.store = platform_store.Store()
         self.store_address = server.start(self.store)
         self.prefill = platform_replica.Replica("prefill")
@@ -149,7 +159,7 @@
         self.register("i-decode", self.decode, "drafter")
         self.register("i-plain", self.plain, "bookings")
         self.daemons = [
-            Daemon(folder, self.store_address, number)
+            Daemon(folder, self.store_address, number, more=more)
             for number in range(daemons)
         ]
 
