Account for all that callers make a daemon hold

Callers that send size lines, trailers or bodies without end, stay silent in a request, or don't read their answers ended a process or kept all of its threads: the HTTP server bounds heads and the data of one body only.

One account for all listeners counts connections, heads, bodies and unread answers, from the host's memory and descriptors, and decides who gives way. The refusals are 408, 413, 431 and 503 of requests that have not run, or a close; each has a log line and a counter.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/bodies.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/bodies.py
@@ -6,6 +6,8 @@
 import cherrypy
 import msgspec
 
+from . import caller_limits
+
 
 class InvalidRequest(NamedTuple):
     """Why a request is invalid: the HTTP status and an error message."""
@@ -45,20 +47,29 @@
         return InvalidRequest(400, f"Content-Length is no number: {length!r}")
     if int(length) > limit:
         return _too_long(limit)
-    body = request.rfile.read(int(length))
-    if len(body) < int(length):
+    try:
+        return request.rfile.read(int(length))
+    except caller_limits.Refused as refused:
+        return _refuse(refused)
+    except caller_limits.MalformedBody:
         return InvalidRequest(
             400, "the body is shorter than its Content-Length"
         )
-    return body
 
 
 def _read_chunks(limit: int) -> bytes | InvalidRequest:
     try:
-        body = cherrypy.request.rfile.read(limit + 1)
+        body = cherrypy.request.rfile.read(limit)
+    except caller_limits.Refused as refused:
+        return _refuse(refused)
     except (ValueError, OSError) as error:
         return InvalidRequest(400, f"the chunked body is broken: {error}")
-    return body if len(body) <= limit else _too_long(limit)
+    return body
+
+
+def _refuse(refused: caller_limits.Refused) -> InvalidRequest:
+    cherrypy.response.headers["Connection"] = "close"
+    return InvalidRequest(refused.status, str(refused))
 
 
 def _too_long(limit: int) -> InvalidRequest:
--- /dev/null
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/caller_memory.py
@@ -0,0 +1,323 @@
+"""Accounts for all that callers make a daemon hold, connection by connection.
+
+Heads, bodies and answers that a caller has yet to read count towards one
+limit, as one large holder and many small ones fill a host alike. When there is
+no room, a caller that has been silent is given up first, then the largest
+request that is still being read. A request that runs is never given up.
+
+Threads and descriptors are shared out likewise: callers that have been silent
+for the longest time make way for others.
+"""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import contextlib
+import enum
+import errno
+import socket
+import threading
+from typing import Protocol
+
+from . import caller_limits
+from . import clock
+from . import response_memory
+
+CONNECTION_BYTES = 16 * 1024  # of its objects and buffers
+# A caller that is silent for longer may be given up if its room is needed.
+SILENCE_S = 1.0
+# The same if its thread is needed, and the time of a request that is received
+# in small parts until then.
+THREAD_SILENCE_S = 0.5
+THREAD_AGE_S = 1.0
+# Open connections, including those that are being closed, and the time in
+# which some of these are closed.
+OPEN_PER_ADMITTED = 1.5
+CLOSING_S = 0.5
+
+
+class Listener(Protocol):
+    """What accepts connections; ``timeout`` is in seconds, for each read."""
+
+    timeout: float
+
+
+class Phase(enum.Enum):
+    """What a connection is used for."""
+
+    IDLE = "idle"
+    READING = "reading"
+    RUNNING = "running"
+    WRITING = "writing"
+
+
+class Caller(response_memory.Holding):
+    """What one connection of a caller holds.
+
+    Methods raise :class:`caller_limits.Refused` if it was given up.
+    """
+
+    def __init__(
+        self, account: "Account", sock: socket.socket, listener: Listener
+    ):
+        super().__init__(account.budget, sock)
+        self._account = account
+        self.listener = listener
+        self.phase = Phase.IDLE
+        self.active_at = clock.now()
+        self.began_at: float | None = None
+        self.reads_head = True
+        self.ended: caller_limits.Refused | None = None
+        self.held = 0  # bytes of the head and the complete body
+        self._is_new = True  # waits for a thread for the first time
+
+    def begin(self, has_bytes: bool) -> bool:
+        """Notes that a request is read; ``has_bytes`` if a part is there.
+
+        Returns false if the connection was given up.
+        """
+        self.active_at = clock.now()
+        self.began_at = self.active_at if has_bytes else None
+        self.reads_head = True
+        with self._account.lock:
+            self._is_new = False
+            self.phase = Phase.READING
+            return self.ended is None
+
+    def begin_body(self) -> None:
+        """Notes that the head is complete."""
+        self.began_at = clock.now()
+        self.reads_head = False
+
+    def check(self) -> None:
+        """Raises if the caller was given up."""
+        if self.ended is not None:
+            raise self.ended.copy()
+
+    def note_bytes(self) -> None:
+        """Notes that bytes were received."""
+        self.check()
+        self.active_at = clock.now()
+        if self.began_at is None:
+            self.began_at = self.active_at
+
+    def is_late(self) -> bool:
+        """Returns whether nothing was received for the listener's timeout."""
+        return clock.now() >= self.active_at + self.listener.timeout
+
+    def begin_run(self) -> None:
+        """Notes that the request is complete; it isn't given up any more."""
+        with self._account.lock:
+            if self.ended is not None:
+                raise self.ended.copy()
+            self.phase = Phase.RUNNING
+
+    def begin_write(self, size: int) -> None:
+        """Notes that an answer of ``size`` bytes is held for the caller."""
+        self.active_at = clock.now()
+        with self._account.lock:
+            self.phase = Phase.WRITING
+        self.resize(self.held + size)
+
+    def note_refusal(self, refused: caller_limits.Refused) -> None:
+        """Reports a refusal, unless that was done as the caller was ended."""
+        if self.ended is None:
+            self._account.report(refused.limit)
+
+    def note_written(self) -> None:
+        """Notes that the caller has taken a part of its answer."""
+        self.active_at = clock.now()
+
+    def finish(self) -> None:
+        """Notes that the request has ended."""
+        self.release()
+        self.active_at = clock.now()
+        with self._account.lock:
+            self.phase = Phase.IDLE
+
+    def release(self) -> None:
+        """Gives back the memory of the request."""
+        self.held = 0
+        self.__exit__()
+        self._is_counted = False
+
+    def resize(self, size: int) -> None:
+        """Notes that ``size`` bytes are held."""
+        if size <= response_memory.FREE_BYTES and not self._is_counted:
+            return
+        self._is_counted = True
+        if not self._budget.grow(self, size):
+            self.end(_no_room())
+            raise (self.ended or _no_room()).copy()
+
+    def end_reads(self) -> None:
+        """Gives the caller up, as its memory is needed."""
+        self.end(_no_room())
+
+    def end(self, why: caller_limits.Refused) -> bool:
+        """Gives the caller up, unless its request runs; wakes its thread."""
+        with self._account.lock:
+            if self.ended is not None or self.phase is Phase.RUNNING:
+                return False
+            self.ended = why
+            is_new = self._is_new
+            if is_new:
+                # No thread uses it, and the next one to do so may come late.
+                self._sock.close()
+        if is_new:
+            self._account.leave(self)
+        else:
+            # A refusal can still be written to one that sends a request.
+            is_reading = self.phase is Phase.READING
+            how = socket.SHUT_RD if is_reading else socket.SHUT_RDWR
+            with contextlib.suppress(OSError):
+                self._sock.shutdown(how)
+        self._account.report(why.limit)
+        return True
+
+
+class Account:
+    """All callers of a daemon; ``report`` is called with a limit's name."""
+
+    def __init__(
+        self,
+        limits: caller_limits.Limits | None = None,
+        report: Callable[[str], None] = lambda limit: None,
+    ):
+        self.limits = limits or caller_limits.Limits()
+        self.head_s = 6.0
+        self.report = report
+        self.lock = threading.Lock()
+        self._left = threading.Condition(self.lock)
+        self.budget = response_memory.Budget(self.limits.memory_bytes, _choose)
+        self._callers: set[Caller] = set()
+        self._listeners: dict[Listener, Callable[[], int]] = {}
+
+    def add_listener(
+        self, listener: Listener, count_waiting: Callable[[], int]
+    ) -> None:
+        """Adds a listener.
+
+        ``count_waiting`` returns how many of its connections need a thread
+        and can't have a new one.
+        """
+        self._listeners[listener] = count_waiting
+
+    def admit(self, sock: socket.socket, listener: Listener) -> Caller:
+        """Returns the holder for a new connection.
+
+        One that has been silent makes way for it if there are too many. Raises
+        ``ConnectionAbortedError`` if there is none.
+        """
+        most = min(
+            self.limits.connections,
+            self.limits.memory_bytes // 2 // CONNECTION_BYTES,
+        )
+        with self.lock:
+            has_room = self._left.wait_for(
+                lambda: len(self._callers) < most * OPEN_PER_ADMITTED,
+                CLOSING_S,
+            )
+            open_now = [each for each in self._callers if each.ended is None]
+        is_full = len(open_now) >= most
+        if not has_room or (is_full and not self._end_oldest(open_now)):
+            self._turn_away(sock)
+        found = Caller(self, sock, listener)
+        with self.lock:
+            self._callers.add(found)
+            self._set_base()
+        return found
+
+    def _end_oldest(self, callers: list[Caller]) -> bool:
+        """Gives up the caller that has been silent for the longest time."""
+        waiting = [
+            each
+            for each in callers
+            if each.phase in (Phase.IDLE, Phase.READING)
+        ]
+        if not waiting:
+            return False
+        oldest = min(waiting, key=lambda each: each.active_at)
+        return oldest.end(
+            caller_limits.Refused(408, "connections", "too many connections")
+        )
+
+    def _turn_away(self, sock: socket.socket) -> None:
+        sock.close()
+        self.report("connections")
+        raise ConnectionAbortedError(
+            errno.ECONNABORTED, "too many connections"
+        )
+
+    def leave(self, caller: Caller) -> None:
+        """Forgets a connection that was closed."""
+        caller.release()
+        with self.lock:
+            self._callers.discard(caller)
+            self._set_base()
+            self._left.notify_all()
+
+    def _set_base(self) -> None:
+        self.budget.base = len(self._callers) * CONNECTION_BYTES
+
+    def sweep(self) -> None:
+        """Gives up callers that are late, and silent ones to free threads.
+
+        It is called now and then.
+        """
+        now = clock.now()
+        with self.lock:
+            reading = [
+                each
+                for each in self._callers
+                if each.phase is Phase.READING and each.ended is None
+            ]
+        for each in reading:
+            limit_s = self.head_s if each.reads_head else self.limits.body_s
+            if each.began_at is not None and now > each.began_at + limit_s:
+                each.end(
+                    caller_limits.Refused(408, "time", "the request is late")
+                )
+        for listener, count_waiting in self._listeners.items():
+            waiting = count_waiting()
+            if waiting:
+                here = [each for each in reading if each.listener is listener]
+                self._free_threads(here, waiting, now)
+
+    def _free_threads(
+        self, reading: list[Caller], waiting: int, now: float
+    ) -> None:
+        silent = [
+            each for each in reading if now > each.active_at + THREAD_SILENCE_S
+        ]
+        silent.sort(key=lambda each: each.active_at)
+        slow = [
+            each
+            for each in reading
+            if each not in silent
+            and each.began_at is not None
+            and now > each.began_at + THREAD_AGE_S
+        ]
+        slow.sort(key=lambda each: each.began_at)
+        for each in [*silent, *slow][:waiting]:
+            each.end(
+                caller_limits.Refused(
+                    408, "threads", "the request arrived too slowly"
+                )
+            )
+
+
+def _no_room() -> caller_limits.Refused:
+    return caller_limits.Refused(503, "memory", "no room for the request")
+
+
+def _choose(sizes: Mapping[Caller, int]) -> Caller | None:
+    """Returns which of the callers with ``sizes`` is given up, if any."""
+    now = clock.now()
+    usable = [
+        each for each in sizes if each.phase in (Phase.READING, Phase.WRITING)
+    ]
+    silent = [each for each in usable if now > each.active_at + SILENCE_S]
+    if silent:
+        return min(silent, key=lambda each: each.active_at)
+    reading = [each for each in usable if each.phase is Phase.READING]
+    return max(reading, key=sizes.__getitem__, default=None)
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/exchanges.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/exchanges.py
@@ -13,6 +13,8 @@
 
 from cheroot import server as cheroot
 
+from .. import caller_limits
+from .. import caller_memory
 from .. import caller_sockets
 from .. import logs
 from .. import servers
@@ -22,6 +24,7 @@
 # uses a connection that is being closed.
 IDLE_MARGIN_S = 3.0
 LISTEN_BACKLOG = 1024
+MAX_BODY_BYTES = 4 * 2**20  # if nothing else is configured
 MIN_IDLE_THREADS = 8  # for requests until the next check
 THREADS_PER_GROWTH = 16  # threads added at a check
 PART_BYTES = 64 * 1024  # of a body that are written at once
@@ -59,21 +62,12 @@
         """Returns the complete body, whether chunked or of a given length.
 
         Returns ``None`` if the connection ended within it, or if its chunks
-        are malformed.
+        are malformed. Raises :class:`caller_limits.Refused`.
         """
-        rfile = self._request.rfile
         try:
-            body = rfile.read()
-            if self._request.chunked_read:
-                # Up to the empty line, without which the last chunk may be
-                # the beginning of a larger one.
-                for _ in rfile.read_trailer_lines():
-                    pass
-            elif rfile.remaining:
-                return None
-        except ValueError:
+            return self._request.rfile.read()
+        except caller_limits.MalformedBody:
             return None
-        return body
 
     def reply(
         self, status: int, headers: Iterable[tuple[str, str]], body: bytes
@@ -86,6 +80,13 @@
         if self.has_started:
             self.abort()
             return False
+        try:
+            self._request.conn.caller.begin_write(len(body))
+        except caller_limits.Refused as refused:
+            # The request may have run, so no refusal is sent.
+            logs.write("response_given_up", {"limit": refused.limit})
+            self.abort()
+            return False
         named = [
             each for each in headers if each[0].lower() != "content-length"
         ]
@@ -124,6 +125,7 @@
             logs.write("caller_lost", {"error": repr(error)})
             self.abort()
             return False
+        self._request.conn.caller.note_written()
         return True
 
     def close_after_response(self) -> None:
@@ -159,10 +161,9 @@
     return request.chunked_write or b"content-length" in names
 
 
-class _Connection(cheroot.HTTPConnection):
+class _Connection(servers.Connection):
     """A connection that is reset when it is closed if ``is_reset`` is set."""
 
-    RequestHandlerClass = servers.RecordingRequest
     is_reset = False
 
     def _close_kernel_socket(self) -> None:
@@ -183,6 +184,7 @@
         handler: Callable[[Exchange], None],
         threads: int,
         max_threads: int | None = None,
+        account: caller_memory.Account | None = None,
     ):
         host, _, port = address.rpartition(":")
 
@@ -200,7 +202,9 @@
             maxthreads=max_threads or threads,
             server_name="hemlockreel",
         )
+        servers.configure(self._server, account)
         self._server.ConnectionClass = _Connection
+        self._server.max_request_body_size = MAX_BODY_BYTES
         self._server.request_queue_size = LISTEN_BACKLOG
         self._server.shutdown_timeout = 0
         self._server.keep_alive_conn_limit = None
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
@@ -27,9 +27,12 @@
 from hemlockreel.forwarding import retry_budget
 from hemlockreel.forwarding import store_fanout
 
+from .. import caller_limits
+from .. import caller_memory
 from .. import clock
 from .. import daemon as daemons
 from .. import logs
+from .. import servers
 from .. import settings
 from . import connector
 from . import exchanges
@@ -47,6 +50,8 @@
 INCOMPLETE_BODY = interfaces.InvalidRequest(
     400, "the body is not what the head of the request states"
 )
+# Added to the operator's limit, for a caller that is far away.
+HEAD_MARGIN_S = 3.0
 FINISH_S = 0.15  # for the last responses, which callers may read slowly
 FINISH_POLL_S = 0.005
 # Concurrent requests; each occupies a thread. The maximum takes some 10 MB and
@@ -118,8 +123,15 @@
         self._is_closed = False
         self._received_at = clock.now()
         self._lock = threading.Lock()
+        self.account = caller_memory.Account(
+            found.callers.limits, self._report_limit
+        )
         self._server = exchanges.Server(
-            found.listen.callers, self.respond, MIN_WORKERS, MAX_WORKERS
+            found.listen.callers,
+            self.respond,
+            MIN_WORKERS,
+            MAX_WORKERS,
+            self.account,
         )
         self._limits = deployments.Limits()
         self._set_limits(self._limits)
@@ -156,6 +168,7 @@
         loop = self.daemon.loop
         while not self.daemon.exiting.wait(COUNT_PERIOD_S):
             self._server.grow_if_busy()
+            self.account.sweep()
             self._tools.backends.close_idle()
             if self.phase.stopping:
                 quiet_s = clock.now() - self._received_at
@@ -223,6 +236,11 @@
         self._server.set_limits(
             limits.head_bytes, limits.body_bytes, limits.idle_s
         )
+        self.account.head_s = limits.head_s + HEAD_MARGIN_S
+
+    def _report_limit(self, limit: str) -> None:
+        self.daemon.metrics.count("caller_limits", 1, (limit,))
+        logs.write("caller_limit", {"limit": limit})
 
     # One request
 
@@ -254,7 +272,11 @@
 
     def _respond(self, exchange: exchanges.Exchange) -> None:
         arrived = clock.now()
-        head, body = exchange.head(), exchange.read_body()
+        try:
+            head, body = exchange.head(), exchange.read_body()
+        except caller_limits.Refused as refused:
+            self._refuse_limited(exchange, refused)
+            return
         if body is None:
             self._refuse_invalid(exchange, INCOMPLETE_BODY)
             return
@@ -290,6 +312,17 @@
             invalid.status, headers, invalid.message.encode() + b"\n"
         )
 
+    def _refuse_limited(
+        self, exchange: exchanges.Exchange, refused: caller_limits.Refused
+    ) -> None:
+        """Refuses a request that has met a limit while it was read."""
+        retry_s = servers.RETRY_AFTER_S if refused.status == 503 else None
+        exchange.close_after_response()
+        headers = self._tools.callers.refusal_headers(
+            "", refused.status, retry_s
+        )
+        exchange.reply(refused.status, headers, f"{refused}\n".encode())
+
     def _wait_for_first_lists(
         self, request: interfaces.CallerRequest, arrived: float
     ) -> None:
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/stream_forwarding.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/stream_forwarding.py
@@ -93,6 +93,8 @@
             _note_events(handler, record, software)
         if len(splitter.rest) > event_bytes:
             return _broken(f"an event has more than {event_bytes} bytes")
+        # Both are held until the caller has taken the events.
+        holding.resize(len(whole) + len(splitter.rest))
         if whole and not handler.exchange.send(whole):
             return _note_caller_gone(handler)
 
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/main.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/main.py
@@ -11,6 +11,7 @@
 
 from hemlockreel import events
 
+from . import caller_memory
 from . import callers
 from . import daemon as daemons
 from . import http_calls
@@ -73,14 +74,24 @@
         print(f"hemlockreeld: can't listen: {error}", file=sys.stderr)
         return 1
     root = callers.Callers(daemon)
+
+    def report_limit(limit: str) -> None:
+        daemon.metrics.count("caller_limits", 1, (limit,))
+        logs.write("caller_limit", {"limit": limit})
+
+    account = caller_memory.Account(loaded.callers.limits, report_limit)
     listeners = [
         servers.Server(
-            loaded.listen.callers, root, loaded.max_in_flight + REFUSAL_THREADS
+            loaded.listen.callers,
+            root,
+            loaded.max_in_flight + REFUSAL_THREADS,
+            account,
         ),
         servers.Server(
             loaded.listen.operators,
             operators.Operators(daemon),
             OPERATOR_THREADS,
+            account,
         ),
     ]
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -95,7 +106,7 @@
         return 1
     daemon.start()
     logs.write("started", {"host": daemon.board.identity.host})
-    _report_active_callers(daemon, root)
+    _report_active_callers(daemon, root, account)
     for server in listeners:
         server.stop()
     daemon.stop()
@@ -106,7 +117,9 @@
 
 
 def _report_active_callers(
-    daemon: daemons.Daemon, root: callers.Callers
+    daemon: daemons.Daemon,
+    root: callers.Callers,
+    account: caller_memory.Account,
 ) -> None:
     """Reports the number of active requests while draining, until the exit.
 
@@ -114,6 +127,7 @@
     none is in progress after a count of zero.
     """
     while not daemon.exiting.wait(REPORT_PERIOD_S):
+        account.sweep()
         if daemon.loop.closed:
             daemon.loop.post(events.CallersCounted(root.active))
 
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/metrics.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/metrics.py
@@ -44,6 +44,7 @@
     "lost_messages": ("Messages to peers that could not be sent.", ()),
     "broken_messages": ("Messages from peers that were none.", ()),
     "stopped": ("Requests given up before their answer.", ("reason",)),
+    "caller_limits": ("Callers that met a limit of this host.", ("limit",)),
     "claims": ("Claims of idempotency keys by result.", ("result",)),
     "repeats_refused": ("Repeats that the budget did not allow.", ()),
     "lost_claim_records": ("Outcomes of claims that were given up.", ()),
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/response_memory.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/response_memory.py
@@ -6,9 +6,12 @@
 so that short responses are never lost for the sake of endless ones.
 """
 
+from collections.abc import Callable
+from collections.abc import Mapping
 import contextlib
 import socket
 import threading
+from typing import Any
 
 from . import bounded_sockets
 
@@ -18,9 +21,17 @@
 RELEASE_TIMEOUT_S = 1.0  # for a thread to notice that its response has ended
 
 
+def choose_largest(sizes: Mapping["Holding", int]) -> "Holding":
+    """Returns the largest of the responses with ``sizes``."""
+    return max(sizes, key=sizes.__getitem__)
+
+
 class Budget:
     """The memory of all responses; ``limit`` is in bytes.
 
+    ``choose`` returns which one of several is given up, or ``None``, which
+    gives up the one that grows. ``base`` is what else counts, in bytes.
+
     >>> budget = Budget(200_000)
     >>> ours, theirs = socket.socketpair()
     >>> with ours, theirs, budget.hold(ours) as small:
@@ -32,8 +43,14 @@
     hemlockreel_daemon.bounded_sockets.ResponseTooLarge: no room for 150000 ...
     """
 
-    def __init__(self, limit: int):
+    def __init__(
+        self,
+        limit: int,
+        choose: Callable[[Any], "Holding | None"] = choose_largest,
+    ):
         self.limit = limit
+        self.base = 0
+        self._choose = choose
         self._changed = threading.Condition()
         self._sizes: dict[Holding, int] = {}
         self._given_up: set[Holding] = set()
@@ -50,20 +67,28 @@
     def grow(self, holding: "Holding", size: int) -> bool:
         """Sets the size of a response; returns whether it may be read on.
 
-        Gives up the largest responses if there is too little room, and waits
-        until their threads have released them.
+        Gives up others if there is too little room, and waits until their
+        threads have released them.
         """
         with self._changed:
             self._sizes[holding] = size
-            while self.total - self._given_up_size() > self.limit:
-                largest = max(
-                    self._sizes.keys() - self._given_up,
-                    key=self._sizes.__getitem__,
+            while (
+                holding not in self._given_up
+                and self._taken() - self._given_up_size() > self.limit
+            ):
+                found = self._choose(
+                    {
+                        each: taken
+                        for each, taken in self._sizes.items()
+                        if each not in self._given_up
+                    }
                 )
-                self._given_up.add(largest)
-                largest.end_reads()
+                self._given_up.add(found or holding)
+                (found or holding).end_reads()
             self._changed.wait_for(
-                lambda: holding in self._given_up or self.total <= self.limit,
+                lambda: (
+                    holding in self._given_up or self._taken() <= self.limit
+                ),
                 RELEASE_TIMEOUT_S,
             )
             return holding not in self._given_up
@@ -75,6 +100,9 @@
             self._given_up.discard(holding)
             self._changed.notify_all()
 
+    def _taken(self) -> int:
+        return self.base + self.total
+
     def _given_up_size(self) -> int:
         return sum(self._sizes[each] for each in self._given_up)
 
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/servers.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/servers.py
@@ -5,20 +5,34 @@
 """
 
 from collections.abc import Iterable
+from http import client
+import sys
 import threading
 from typing import Any
 from urllib import parse
 
+from cheroot import makefile
 from cheroot import server
 from cheroot import wsgi
 import cherrypy
 
+from . import caller_bodies
+from . import caller_limits
+from . import caller_memory
+from . import caller_reader
 from . import responses
 
 SOCKET_KEY = "hemlockreel.socket"
 LINES_KEY = "hemlockreel.header_lines"
 REPEATED_KEY = "hemlockreel.repeated_headers"
 
+MAX_HEAD_BYTES = 16 * 1024  # if nothing else is configured
+LINE_BYTES = 256  # of the objects for a header line, with a margin
+# A body of which more is left isn't read for the sake of its connection.
+DRAINED_BYTES = 64 * 1024
+RETRY_AFTER_S = 1.0  # for callers that were refused to free memory
+LIMITS_BY_STATUS = {"413": "body", "414": "head", "431": "head"}
+
 # CherryPy's engine is not started, so its reloader, signal handlers and access
 # log are off. Paths and queries are forwarded as received. They are decoded as
 # latin-1, which accepts any byte.
@@ -43,40 +57,151 @@
 
 
 class _RecordingReader:
-    """A file wrapper that records the lines it reads."""
+    """A file wrapper that records and accounts for the lines it reads."""
 
-    def __init__(self, rfile: Any, lines: list[bytes]):
+    def __init__(
+        self, rfile: Any, lines: list[bytes], caller: caller_memory.Caller
+    ):
         self._rfile = rfile
         self._lines = lines
+        self._caller = caller
 
     def readline(self) -> bytes:
         """Reads, records and returns the next line."""
         line = self._rfile.readline()
         self._lines.append(line)
+        self._caller.check()
+        self._caller.held += len(line) + LINE_BYTES
+        self._caller.resize(self._caller.held)
         return line
 
 
 class _HeaderReader(server.HeaderReader):
     """A header reader that records the raw lines, including repeated ones."""
 
-    def __init__(self):
+    def __init__(self, caller: caller_memory.Caller):
         self.lines: list[bytes] = []
+        self._caller = caller
 
     def __call__(self, rfile, hdict=None):
-        return super().__call__(_RecordingReader(rfile, self.lines), hdict)
+        reader = _RecordingReader(rfile, self.lines, self._caller)
+        return super().__call__(reader, hdict)
 
 
 class RecordingRequest(server.HTTPRequest):
-    """A request that records its raw header lines."""
+    """A request that records its raw header lines and keeps the limits."""
 
     def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
-        self.header_reader = _HeaderReader()
+        self.header_reader = _HeaderReader(self.conn.caller)
+
+    def parse_request(self):
+        """Reads the head, unless its caller is given up meanwhile."""
+        try:
+            super().parse_request()
+        except caller_limits.Refused as refused:
+            self.ready = False
+            if self.conn.caller.began_at is not None:
+                self.refuse(refused)
+
+    def refuse(self, refused: caller_limits.Refused) -> None:
+        """Responds that a limit was met, and closes the connection."""
+        reason = client.responses[refused.status]
+        self.close_connection = True
+        super().simple_response(f"{refused.status} {reason}", str(refused))
+
+    def simple_response(self, status, msg=""):
+        """Responds to a request that can't be read; reports met limits."""
+        limit = LIMITS_BY_STATUS.get(str(status)[:3])
+        if limit:
+            self.server.account.report(limit)
+        super().simple_response(status, msg)
+
+    def respond(self):
+        """Calls the gateway, which reads the body within its limits."""
+        length = None
+        if not self.chunked_read:
+            length = int(self.inheaders.get(b"Content-Length", 0))
+        caller = self.conn.caller
+        self.rfile = caller_bodies.Body(
+            self.conn.rfile,
+            caller,
+            length,
+            self.server.max_request_body_size or sys.maxsize,
+            self.server.max_request_header_size,
+        )
+        if self.rfile.is_read:
+            try:
+                caller.begin_run()
+            except caller_limits.Refused as refused:
+                self.refuse(refused)
+                return
+        self.server.gateway(self).respond()
+        if self.ready:
+            self.ensure_headers_sent()
+        if self.chunked_write:
+            self.conn.wfile.write(b"0\r\n\r\n")
+
+    def send_headers(self):
+        """Sends the head of the response.
+
+        The connection is closed after it if much of the body is left.
+        """
+        body = self.rfile
+        if not body.is_read and not 0 < body.remaining <= DRAINED_BYTES:
+            self.close_connection = True
+        super().send_headers()
+
 
+class Connection(server.HTTPConnection):
+    """A connection that its server's account knows."""
 
-class _Connection(server.HTTPConnection):
     RequestHandlerClass = RecordingRequest
 
+    def __init__(self, parent, sock, make_file=makefile.MakeFile):
+        self.caller = parent.account.admit(sock, parent)
+
+        def make(of, mode="r", size=makefile.io.DEFAULT_BUFFER_SIZE):
+            if "r" in mode:
+                return caller_reader.Reader(of, self.caller)
+            return make_file(of, mode, size)
+
+        super().__init__(parent, sock, make)
+
+    def communicate(self):
+        """Reads a request and responds; true if another one may follow."""
+        try:
+            if not self.caller.begin(self.last_used is not None):
+                return False
+            return super().communicate()
+        finally:
+            self.caller.finish()
+
+    def close(self):
+        """Closes the connection."""
+        try:
+            # The account closes one that has waited in vain for a thread.
+            if self.socket.fileno() >= 0:
+                super().close()
+        finally:
+            self.server.account.leave(self.caller)
+
+
+def configure(
+    found: server.HTTPServer, account: caller_memory.Account | None
+) -> None:
+    """Makes a server keep the limits of ``account``, or of one of its own."""
+    found.account = account or caller_memory.Account()
+    found.ConnectionClass = Connection
+    found.max_request_header_size = MAX_HEAD_BYTES
+
+    def count_waiting() -> int:
+        pool = found.requests
+        can_grow = len(pool._threads) < pool.max
+        return 0 if can_grow or pool.idle else pool.qsize
+
+    found.account.add_listener(found, count_waiting)
+
 
 class _Gateway(wsgi.Gateway_10):
     """Passes the socket and the raw header lines in the WSGI environment."""
@@ -101,7 +226,13 @@
 class Server:
     """One listener with its own thread pool."""
 
-    def __init__(self, address: str, root: Any, threads: int):
+    def __init__(
+        self,
+        address: str,
+        root: Any,
+        threads: int,
+        account: caller_memory.Account | None = None,
+    ):
         cherrypy.config.update(
             {"environment": "embedded", "log.screen": False}
         )
@@ -119,7 +250,7 @@
             server_name="hemlockreel",
         )
         self._server.gateway = _Gateway
-        self._server.ConnectionClass = _Connection
+        configure(self._server, account)
         self._server.shutdown_timeout = 1
 
     def start(self) -> None:
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/settings.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/settings.py
@@ -8,12 +8,16 @@
 import msgspec
 
 from . import bounded_sockets
+from . import caller_limits
 
 # A head of 1 KiB holds the headers of any platform; a body must hold a page
 # of the store's lists, 1 MiB.
 HeadBytes = Annotated[int, msgspec.Meta(ge=1024, le=2**20)]
 BodyBytes = Annotated[int, msgspec.Meta(ge=2**20, le=64 * 2**20)]
 EventBytes = Annotated[int, msgspec.Meta(ge=1024, le=16 * 2**20)]
+MemoryBytes = Annotated[int, msgspec.Meta(ge=8 * 2**20, le=64 * 2**30)]
+Connections = Annotated[int, msgspec.Meta(ge=16, le=10**6)]
+BodySeconds = Annotated[float, msgspec.Meta(ge=5, le=3600)]
 TotalBytes = Annotated[int, msgspec.Meta(ge=2**20, le=1024 * 2**20)]
 
 
@@ -55,6 +59,24 @@
         )
 
 
+class Callers(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What all callers together may make the daemon hold.
+
+    The defaults are those of :class:`caller_limits.Limits`.
+    """
+
+    memory_bytes: MemoryBytes = caller_limits.Limits().memory_bytes
+    connections: Connections = caller_limits.Limits().connections
+    body_s: BodySeconds = caller_limits.Limits().body_s
+
+    @property
+    def limits(self) -> caller_limits.Limits:
+        """The limits as the listeners take them."""
+        return caller_limits.Limits(
+            self.memory_bytes, self.connections, self.body_s
+        )
+
+
 class Settings(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
@@ -63,7 +85,7 @@
     ``store`` and ``host_list`` are the addresses of the platform's services,
     ``seeds`` the peer addresses of some other daemons. ``max_in_flight``
     limits the concurrent requests of callers, ``responses`` the size of the
-    responses of other servers.
+    responses of other servers, ``callers`` what is held for callers.
     """
 
     zone: str
@@ -75,6 +97,7 @@
     max_in_flight: int = 600
     log_level: str = "INFO"
     responses: Responses = Responses()
+    callers: Callers = Callers()
 
 
 def load(path: str) -> Settings:
--- /dev/null
+++ b/packages/hemlockreel-daemon/tests/test_caller_memory.py
@@ -0,0 +1,168 @@
+"""What callers hold together: who gives way, and who never does."""
+
+import socket
+
+import pytest
+
+from hemlockreel_daemon import caller_limits
+from hemlockreel_daemon import caller_memory
+from hemlockreel_daemon import clock
+
+MB = 2**20
+
+
+class Listener:
+    timeout = 15.0
+
+
+class Callers:
+    """An account and connections to it, at a time that the test sets."""
+
+    def __init__(self, connections=100):
+        self.now = 0.0
+        self.reported = []
+        self.account = caller_memory.Account(
+            caller_limits.Limits(10 * MB, connections, body_s=30.0),
+            self.reported.append,
+        )
+        self.listener = Listener()
+        self.opened = []
+
+    def open(self):
+        ours, theirs = socket.socketpair()
+        self.opened += [ours, theirs]
+        return self.account.admit(ours, self.listener)
+
+    def read(self, size, at=None):
+        """Returns a caller of whose request ``size`` bytes were received."""
+        self.now = self.now if at is None else at
+        found = self.open()
+        found.begin(True)
+        found.resize(size)
+        return found
+
+
+@pytest.fixture
+def callers(monkeypatch):
+    made = Callers()
+    monkeypatch.setattr(clock, "now", lambda: made.now)
+    yield made
+    for each in made.opened:
+        each.close()
+
+
+def limit_of(caller):
+    return caller.ended and caller.ended.limit
+
+
+def test_silent_caller_gives_way_before_a_larger_one(callers):
+    silent = callers.read(3 * MB, at=0.0)
+    callers.now = 2.0
+    large = callers.read(6 * MB)
+    callers.read(2 * MB)
+    assert limit_of(silent) == "memory"
+    assert large.ended is None
+    assert callers.reported == ["memory"]
+
+
+def test_largest_request_gives_way_if_none_is_silent(callers):
+    small, large = callers.read(2 * MB), callers.read(6 * MB)
+    callers.read(3 * MB)
+    assert (small.ended, limit_of(large)) == (None, "memory")
+    with pytest.raises(caller_limits.Refused) as found:
+        large.note_bytes()
+    assert found.value.status == 503
+
+
+def test_request_that_runs_never_gives_way(callers):
+    runs = callers.read(9 * MB)
+    runs.begin_run()
+    callers.now = 5.0
+    with pytest.raises(caller_limits.Refused):
+        callers.read(4 * MB)
+    assert runs.ended is None
+    assert not runs.end(caller_limits.Refused(408, "time", ""))
+
+
+def test_unread_answers_count_and_the_slowest_caller_gives_way(callers):
+    slow = callers.open()
+    slow.begin(True)
+    slow.begin_run()
+    slow.begin_write(8 * MB)
+    callers.now = 0.9
+    with pytest.raises(caller_limits.Refused):
+        callers.read(4 * MB)
+    callers.now = 1.1
+    other = callers.read(4 * MB)
+    assert (limit_of(slow), other.ended) == ("memory", None)
+
+
+def test_many_connections_leave_less_for_requests(callers):
+    for _ in range(90):
+        callers.open()
+    with pytest.raises(caller_limits.Refused):
+        callers.read(10 * MB - 80 * caller_memory.CONNECTION_BYTES)
+
+
+def test_memory_is_given_back_at_the_end_of_a_request(callers):
+    found = callers.read(9 * MB)
+    found.finish()
+    assert callers.account.budget.total == 0
+    assert callers.read(9 * MB).ended is None
+    callers.account.leave(found)
+
+
+def test_oldest_idle_connection_makes_way_for_a_new_one(callers):
+    callers.account.limits = caller_limits.Limits(10 * MB, 3)
+    first, second = callers.open(), callers.open()
+    callers.now = 1.0
+    first.begin(True)
+    first.finish()
+    callers.open()
+    callers.open()
+    assert (first.ended, limit_of(second)) == (None, "connections")
+
+
+def test_connection_is_turned_away_while_requests_run_on_all(callers):
+    callers.account.limits = caller_limits.Limits(10 * MB, 2)
+    for _ in range(2):
+        each = callers.open()
+        each.begin(True)
+        each.begin_run()
+    with pytest.raises(ConnectionAbortedError):
+        callers.open()
+    assert callers.reported == ["connections"]
+
+
+def test_late_heads_and_bodies_are_ended(callers):
+    head, body = callers.read(1, at=0.0), callers.read(1)
+    body.begin_body()
+    callers.now = callers.account.head_s
+    callers.account.sweep()
+    assert (head.ended, body.ended) == (None, None)
+    callers.now += 0.1
+    callers.account.sweep()
+    assert (limit_of(head), body.ended) == ("time", None)
+    callers.now = 30.1
+    callers.account.sweep()
+    assert limit_of(body) == "time"
+
+
+def test_silent_callers_free_threads_for_others_of_their_listener(callers):
+    waiting = 1
+    callers.account.add_listener(callers.listener, lambda: waiting)
+    silent, slow = callers.read(1, at=0.0), callers.read(1)
+    callers.now = 0.4
+    callers.account.sweep()
+    assert (silent.ended, slow.ended) == (None, None)
+    callers.now = 1.1
+    slow.note_bytes()
+    callers.account.sweep()
+    assert (limit_of(silent), slow.ended) == ("threads", None)
+    callers.account.sweep()
+    assert limit_of(slow) == "threads"
+    other = callers.read(1)
+    other.begin_run()
+    callers.now = 9.0
+    callers.account.sweep()
+    assert other.ended is None
--- a/packages/hemlockreel/hemlockreel/forwarding/deployments.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/deployments.py
@@ -86,11 +86,12 @@
 
 
 class Limits(NamedTuple):
-    """Limits on the size of requests and on idle connections of callers."""
+    """Limits on requests and on idle connections of callers."""
 
     head_bytes: int = 16 * 1024
     body_bytes: int = 4 * 2**20
     idle_s: float = 15.0
+    head_s: float = 3.0  # for the head of a request
 
 
 class Deployment(NamedTuple):
--- a/tests/hemlockreel_platform/test_unruly_callers.py
+++ b/tests/hemlockreel_platform/test_unruly_callers.py
@@ -15,6 +15,7 @@
 import pytest
 
 from hemlockreel_standins import platform_site
+from hemlockreel_standins import raw_caller
 
 MEMORY_MB = 96
 MAX_DESCRIPTORS = 300
@@ -57,7 +58,10 @@
     "announced": [with_length(4 * 2**30), *[b"x" * PART] * PARTS],
     "not_announced": [with_length(1), *[b"x" * PART] * PARTS],
 }
+# A whole head with many lines, whose objects are larger than its bytes.
+LINES = START + b"".join(b"%x:\r\n" % each for each in range(2000))
 SILENT = {
+    "half_lines": LINES + b"Content-Length: 9\r\n\r\n",
     "nothing": b"",
     "half_head": START,
     "half_body": with_length(1000) + b"x" * 10,
@@ -118,13 +122,20 @@
         yield started
 
 
+@pytest.fixture
+def roomy_site(tmp_path):
+    """A site whose descriptors are enough for all callers."""
+    with platform_site.Site(tmp_path, more=SETTINGS[:1]) as started:
+        yield started
+
+
 @pytest.fixture
 def crowd(site):
     with Crowd(site.daemons[0].listen["frontend"]) as callers:
         yield callers
 
 
-def check(site):
+def check(site, most_descriptors=MAX_DESCRIPTORS):
     """Checks the bounds, and that an ordinary request is answered."""
     process = site.daemons[0].process
     folder = pathlib.Path(f"/proc/{process.pid}")
@@ -137,7 +148,7 @@
     peak = re.search(r"VmHWM:\s+(\d+) kB", (folder / "status").read_text())
     print(f"peak {int(peak[1]) / 1000} MB, {descriptors} descriptors")
     assert int(peak[1]) / 1000 < MEMORY_MB
-    assert descriptors < MAX_DESCRIPTORS
+    assert descriptors < most_descriptors
 
 
 @pytest.mark.parametrize("kind", LARGE)
@@ -177,3 +188,30 @@
         # One by one, as the answers that are being received are bounded.
         crowd.send_and_read_a_byte([with_length(0)])
     check(site)
+
+
+@pytest.mark.parametrize("kind", SILENT)
+def test_silent_callers_that_need_more_threads_than_there_are(
+    roomy_site, kind
+):
+    with Crowd(roomy_site.daemons[0].listen["frontend"]) as callers:
+        for _ in range(MANY):
+            callers.send([SILENT[kind]])
+        check(roomy_site, 10 * MAX_DESCRIPTORS)
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        [with_length(4194304), *[b"x" * PART] * 64],
+        [CHUNKED, *[CHUNK] * 64, b"0\r\nX-A: 1\r\n\r\n"],
+        [CHUNKED, b"1\r\nx\r\n" * SMALL_CHUNKS, b"0\r\n\r\n"],
+        [START, b"X-A: %b\r\n" % (b"x" * 180) * 85, b"\r\n"],
+    ],
+    ids=["length", "chunks", "small_chunks", "head"],
+)
+def test_single_request_inside_the_limits_is_served(site, parts):
+    address = site.daemons[0].listen["frontend"]
+    with raw_caller.send_raw(address, b"".join(parts)) as sock:
+        assert sock.recv(12) == b"HTTP/1.1 200"
+    check(site)
