Lend the whole cap at the last host that is left

Cause, seen in a new test: the size of the fleet was kept until the next version of the member table, and members that are forgotten after a minute leave it without one. The last of three hosts refused 0.23 of a load below the cap. A host that met none of its seeds lent nothing at all.

Change: the size of the table counts too; such a host lends one part of all seeds after 10 s.

--- a/packages/hemlockreel/hemlockreel/forwarding/usage_lending.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/usage_lending.py
@@ -27,18 +27,22 @@
 # After its start a host knows few others, and would take itself for one of the
 # lenders. Members need about a second to join.
 SETTLE_S = 2.0
+# After this time without any other host, those of the settings seem lost.
+NO_OTHERS_S = 10.0
 # A host that is cut off takes its part after the others have noticed, since
 # they lend that part until then.
 NOTICED_S = 6.0
 
 
 class Members(NamedTuple):
-    """The hosts as seen at ``version`` of the member table.
+    """The hosts as seen at ``version`` of the member table of ``size``.
 
+    Members that are gone for long leave the table without another version.
     ``known`` also counts those that seem dead: they may only be cut off.
     """
 
     version: int = -1
+    size: int = 0
     usable: tuple[str, ...] = ()
     reached: int = 1
     known: int = 1
@@ -61,17 +65,19 @@
     ``limits`` come from the platform's settings. ``chosen`` keeps the lenders
     by organisation and number, as ``members`` has them. ``started_at`` is the
     time of the first tick, ``cut_off_at`` that since which this host seems
-    cut off, ``None`` if it doesn't. ``basis`` holds the versions of the
-    member table and of the deployment for which the parts were worked out.
+    cut off, ``None`` if it doesn't. ``has_met_others`` is set once another
+    host was known. ``basis`` holds the versions of the member table and of the
+    deployment for which the parts were worked out.
     """
 
     def __init__(self):
         self.limits = usage_bounds.UsageLimits()
         self.started_at: float | None = None
         self.cut_off_at: float | None = None
+        self.has_met_others = False
         self.lent: dict[str, Lent] = {}
         self.members = Members()
-        self.basis = (-1, -1)
+        self.basis = (-1, -1, -1)
         self.chosen: dict[tuple[str, int], tuple[str, ...]] = {}
 
 
@@ -92,14 +98,18 @@
     """Returns the hosts as this host sees them."""
     state = board.state(State)
     table = membership.table(board)
-    if state.members.version != table.version:
+    if state.members[:2] != (table.version, len(table.members)):
         reached = membership.reachable_members(board)
         usable = tuple(each.host for each in reached if not each.draining)
         known = 1 + sum(
             each.state != precedence.LEFT for each in table.members.values()
         )
+        state.has_met_others = state.has_met_others or known > 1
+        if not state.has_met_others:
+            known += len(_other_seeds(board))
         state.members = Members(
             table.version,
+            len(table.members),
             usable or (board.identity.host,),
             len(reached),
             known,
@@ -108,13 +118,19 @@
     return state.members
 
 
+def _other_seeds(board: boards.Board) -> set[str]:
+    return set(board.seeds) - {board.identity.host}
+
+
 def has_settled(board: boards.Board, now: float) -> bool:
     """Returns whether this host knows enough others to lend."""
-    started_at = board.state(State).started_at
-    if started_at is None or now - started_at < SETTLE_S:
+    state = board.state(State)
+    if state.started_at is None:
         return False
-    others = set(board.seeds) - {board.identity.host}
-    return members(board).known > 1 or not others
+    members(board)
+    can_join = state.has_met_others or not _other_seeds(board)
+    settle_s = SETTLE_S if can_join else NO_OTHERS_S
+    return now - state.started_at >= settle_s
 
 
 def lenders(
@@ -167,7 +183,7 @@
     if found is None or not found.organisations:
         return ()
     version = active_deployment.organisations_version(board)
-    basis = (membership.table(board).version, version)
+    basis = (*members(board)[:2], version)
     if basis == state.basis or not has_settled(board, now):
         return ()
     state.basis = basis
--- a/packages/hemlockreel/tests/forwarding/test_usage_caps.py
+++ b/packages/hemlockreel/tests/forwarding/test_usage_caps.py
@@ -230,6 +230,26 @@
     assert fleet.most() <= fleet.allowed
 
 
+def test_the_last_host_has_the_whole_cap_once_others_are_forgotten():
+    fleet = Fleet(3)
+    for host in fleet.hosts[1:]:
+        fleet.fabric.kill(host)
+    fleet.fabric.run(80.0)
+    fleet.demand(10.0, CAP.rate / 1.8)
+    assert fleet.refused_share() < 0.01
+
+
+def test_a_host_that_never_met_its_seeds_has_a_part_of_the_cap():
+    fleet = Fleet(3, settle_s=0.0)
+    for host in fleet.hosts[1:]:
+        fleet.fabric.kill(host)
+    fleet.start(fleet.hosts[0], 2)
+    fleet.fabric.run(12.0)
+    fleet.demand(10.0, 4 * CAP.rate)
+    assert 0.9 * CAP.rate * 10 / 3 <= fleet.sum_used()
+    assert fleet.sum_used() <= fleet.allowed / 2
+
+
 def test_what_no_replica_ran_counts_again():
     fleet = Fleet(3)
     for _ in range(100):
