--- a/packages/hemlockreel/hemlockreel/forwarding/usage_caps.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/usage_caps.py
@@ -25,6 +25,7 @@
 from .. import rendezvous
 from . import active_deployment
 from . import organisations
+from . import usage_accounts
 from . import usage_bounds
 from . import usage_buckets
 from . import usage_lending
@@ -34,7 +35,6 @@
 FORGOTTEN_S = 1.0  # an answer that comes later still is dropped
 AVOID_S = 2.0  # a lender that was silent is asked last
 TOP_UP_PERIOD_S = 0.25
-USE_PERIOD_S = 1.0  # over which recent use is averaged
 GIVE_BACK_S = 1.0  # for what is not sent; later it counts as used
 MAX_RETRY_AFTER_S = 10.0
 LOG_PERIOD_S = 5.0  # between two log lines about one organisation
@@ -64,22 +64,6 @@
     age_s: float
 
 
-class Lease(NamedTuple):
-    """What ``lender`` has lent for requests until ``until``."""
-
-    lender: str
-    amount: float = 0.0
-    until: float = -math.inf
-
-
-class Seen(NamedTuple):
-    """What a lender had left at ``at``; it grows by ``refill`` a second."""
-
-    left: float
-    refill: float
-    at: float
-
-
 class Waiting(NamedTuple):
     """A request that waits for the last of the lenders in ``asked``.
 
@@ -93,23 +77,6 @@
     after_s: float = math.inf
 
 
-class Account:
-    """What this host holds of one organisation's cap.
-
-    ``spare`` is kept without a lease. ``used_per_s`` is recent use, as it was
-    at ``used_at``. ``alone`` is used while no lender answers.
-    """
-
-    def __init__(self):
-        self.spare = 0.0
-        self.lease = Lease("")
-        self.seen: dict[str, Seen] = {}
-        self.used_per_s = 0.0
-        self.used_at = -math.inf
-        self.alone: usage_buckets.Bucket | None = None
-        self.logged_at = -math.inf
-
-
 class State:
     """The accounts by organisation, and the requests that wait, by key.
 
@@ -117,7 +84,7 @@
     """
 
     def __init__(self):
-        self.accounts: dict[str, Account] = {}
+        self.accounts: dict[str, usage_accounts.Account] = {}
         self.waiting: dict[int, Waiting] = {}
         self.asked_at: dict[int, float] = {}
         self.last_key = 0
@@ -138,11 +105,7 @@
     account = board.state(State).accounts.get(organisation)
     if account is None:
         return 0.0
-    return account.spare + _lent(account, now)
-
-
-def _lent(account: Account, now: float) -> float:
-    return account.lease.amount if now < account.lease.until else 0.0
+    return account.spare + usage_accounts.lent(account, now)
 
 
 @handle.register
@@ -157,38 +120,19 @@
     limits = board.state(usage_lending.State).limits
     account = state.accounts.get(event.organisation)
     if account is None:
-        account = state.accounts[event.organisation] = Account()
+        account = state.accounts[event.organisation] = usage_accounts.Account()
         account.spare = _spare_limit(board, cap, now)
-    _note_use(account, event.cost, now)
+    usage_accounts.note_use(account, event.cost, now)
     if event.cost > usage_bounds.allowed(limits, cap):
         yield from _refuse(state, Waiting(event, (), now), now)
         return
     account.spare = min(account.spare, _spare_limit(board, cap, now))
-    if _spend(account, event.cost, now):
+    if usage_accounts.spend(account, event.cost, now):
         yield actions.Reply(event.request_id, Allowed())
         return
     yield from _ask_next(board, Waiting(event, (), now), now)
 
 
-def _note_use(account: Account, cost: float, now: float) -> None:
-    passed_s = now - account.used_at
-    kept = math.exp(-passed_s / USE_PERIOD_S) if passed_s > 0 else 1.0
-    account.used_per_s = account.used_per_s * kept + cost / USE_PERIOD_S
-    account.used_at = now
-
-
-def _spend(account: Account, cost: float, now: float) -> bool:
-    """Takes ``cost`` from what is in hand, first from what expires."""
-    lent = _lent(account, now)
-    if lent + account.spare < cost:
-        return False
-    part = min(lent, cost)
-    if part:
-        account.lease = account.lease._replace(amount=lent - part)
-    account.spare -= cost - part
-    return True
-
-
 def _ask_next(
     board: boards.Board, waiting: Waiting, now: float
 ) -> Iterable[actions.Action]:
@@ -272,7 +216,7 @@
 
 def _wanted_extra(
     board: boards.Board,
-    account: Account,
+    account: usage_accounts.Account,
     cap: organisations.UsageCap,
     now: float,
 ) -> float:
@@ -280,7 +224,9 @@
     limits = board.state(usage_lending.State).limits
     soon = account.used_per_s * usage_bounds.lease_s(limits, cap) / 2
     missing = _spare_limit(board, cap, now) - account.spare
-    extra = max(0.0, soon - _lent(account, now)) + max(0.0, missing)
+    extra = max(0.0, soon - usage_accounts.lent(account, now)) + max(
+        0.0, missing
+    )
     return extra if extra >= cap.cost(None) else 0.0
 
 
@@ -339,7 +285,7 @@
 
 def _take_alone(
     board: boards.Board,
-    account: Account,
+    account: usage_accounts.Account,
     cap: organisations.UsageCap,
     cost: float,
     now: float,
@@ -400,14 +346,16 @@
         account = state.accounts.get(loan.organisation)
         if account is None:
             continue
-        account.seen[event.sender] = Seen(loan.left, loan.refill, now)
+        account.seen[event.sender] = usage_accounts.Seen(
+            loan.left, loan.refill, now
+        )
         rest = loan.amount
         if waiting is not None and 0 < waiting.request.cost <= rest:
             rest -= waiting.request.cost
             yield actions.Reply(waiting.request.request_id, Allowed())
             waiting = None
         if rest > 0:
-            lease = Lease(event.sender, rest, asked_at)
+            lease = usage_accounts.Lease(event.sender, rest, asked_at)
             yield from _keep(board, account, loan.organisation, lease, now)
     if waiting is not None:
         yield from _go_on(board, waiting, event.sender, now)
@@ -431,9 +379,9 @@
 
 def _keep(
     board: boards.Board,
-    account: Account,
+    account: usage_accounts.Account,
     organisation: str,
-    lease: Lease,
+    lease: usage_accounts.Lease,
     now: float,
 ) -> Iterable[actions.Action]:
     """Keeps what was lent for requests to come, asked for at ``until``.
@@ -454,14 +402,19 @@
     yield from _return_lease(board, account, organisation, now)
     limits = board.state(usage_lending.State).limits
     until = lease.until + usage_bounds.lease_s(limits, cap)
-    account.lease = Lease(lease.lender, lease.amount - part, until)
+    account.lease = usage_accounts.Lease(
+        lease.lender, lease.amount - part, until
+    )
 
 
 def _return_lease(
-    board: boards.Board, account: Account, organisation: str, now: float
+    board: boards.Board,
+    account: usage_accounts.Account,
+    organisation: str,
+    now: float,
 ) -> Iterable[actions.Action]:
-    lease, amount = account.lease, _lent(account, now)
-    account.lease = Lease("")
+    lease, amount = account.lease, usage_accounts.lent(account, now)
+    account.lease = usage_accounts.Lease("")
     if amount > 0:
         yield _give_back(board, lease.lender, organisation, amount)
 
