Let a flood use plain places that are free again at once

An organisation with over a third of the places left 15% of each replica to the others. It now applies to decode only, whose places are held for seconds. A refused caller isn't told a moment after its deadline. The scripts of any order of faults run with and without shared places: the rig's mailbox advances the clock instead of waiting.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/request_handler.py
@@ -354,8 +354,9 @@
     def out_of_room(self, after_s: float) -> outcomes.Refused:
         """Returns the refusal while all replicas are full for ``after_s``.
 
-        The caller returns then at the earliest.
+        The caller returns then at the earliest, if it is still there.
         """
+        after_s = min(after_s, max(0.0, self.left_s()))
         refused = self.overloaded(f"there is room in {after_s:.1f} s")
         return refused._replace(
             retry_after_s=max(after_s, refused.retry_after_s or 0.0)
--- a/packages/hemlockreel-daemon/tests/forwarding/test_generation_any_order.py
+++ b/packages/hemlockreel-daemon/tests/forwarding/test_generation_any_order.py
@@ -15,9 +15,11 @@
 
 from hemlockreel import outcomes
 from hemlockreel_daemon import clock
+from hemlockreel_daemon import mailbox
 from hemlockreel_standins import forwarding_rig as rigs
 
 from hemlockreel.forwarding import ranking
+from hemlockreel.forwarding import shared_placement
 from hemlockreel_daemon.forwarding import generation
 from hemlockreel_daemon.forwarding import interfaces
 
@@ -49,6 +51,9 @@
 )
 
 
+RECEIVE = mailbox.Mailbox.get
+
+
 class ScriptedReplicas:
     """Replicas that follow a script and record what they still hold.
 
@@ -163,6 +168,15 @@
     made = Clock()
     patch.setattr(clock, "now", made.now)
     patch.setattr(times, "sleep", made.sleep)
+
+    def receive(box, timeout_s):
+        # The loop runs in step, so what is not there does not come.
+        value = RECEIVE(box, 0.0)
+        if value is None:
+            made.sleep(timeout_s)
+        return value
+
+    patch.setattr(mailbox.Mailbox, "get", receive)
     yield made
     patch.undo()
 
@@ -190,9 +204,14 @@
     decodes=strategies.integers(1, 3),
     resumable=strategies.booleans(),
     attempts=strategies.integers(1, 3),
+    is_shared=strategies.booleans(),
 )
-def test_any_script(time, script, prefills, decodes, resumable, attempts):
+def test_any_script(
+    time, script, prefills, decodes, resumable, attempts, is_shared
+):
     rig = make_rig(prefills, decodes)
+    shared = rig.board.state(shared_placement.State)
+    shared.is_shared = is_shared
     replicas = ScriptedReplicas(rig, time, script)
     route = rigs.ROUTE._replace(resumable=resumable, max_attempts=attempts)
     began = time.at
@@ -205,6 +224,8 @@
     state = rig.board.state(ranking.State)
     assert not state.running
     assert not state.running_tokens
+    assert not shared.held
+    assert all(pool.is_idle for pool in shared.pools.values())
     # Only a resumable stream runs more than once, and attempts are bounded.
     assert len(replicas.runs_by) <= (attempts if resumable else 1)
     assert len(replicas.reached) <= attempts
--- a/packages/hemlockreel-daemon/tests/forwarding/test_plain_requests_any_order.py
+++ b/packages/hemlockreel-daemon/tests/forwarding/test_plain_requests_any_order.py
@@ -10,6 +10,7 @@
 
 from hemlockreel.forwarding import deployments
 from hemlockreel.forwarding import ranking
+from hemlockreel.forwarding import shared_placement
 from hemlockreel_daemon.forwarding import interfaces
 
 SERVERS = ("a", "b", "c")
@@ -58,9 +59,14 @@
     ),
     attempts=strategies.integers(1, 4),
     leaves_after=strategies.integers(0, 4),
+    is_shared=strategies.booleans(),
 )
-def test_any_script(time, answers, pauses, kind, attempts, leaves_after):
+def test_any_script(
+    time, answers, pauses, kind, attempts, leaves_after, is_shared
+):
     rig = rigs.Rig(*map(rigs.server, SERVERS))
+    shared = rig.board.state(shared_placement.State)
+    shared.is_shared = is_shared
     script, waits = iter(answers), iter(pauses)
     arrived, ran, steps = [], [], 0
 
@@ -112,3 +118,5 @@
     assert len(set(arrived)) == len(arrived)
     assert all(wait_s > 0 for _, wait_s in rig.backends.waits)
     assert not rig.board.state(ranking.State).running
+    assert not shared.held
+    assert all(pool.is_idle for pool in shared.pools.values())
--- a/packages/hemlockreel/hemlockreel/forwarding/pool_placement.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/pool_placement.py
@@ -26,7 +26,7 @@
 # free slot takes a round trip to arrive.
 QUEUE_SHARE = 0.2
 MAX_AFTER_S = 10.0
-# An organisation that holds more than this share of a pool leaves some room at
+# An organisation that holds more than this share of decode leaves some room at
 # each replica to the others, which would otherwise wait until a request of its
 # flood ends.
 FLOOD_SHARE = 1 / 3
@@ -265,7 +265,12 @@
         return None if best is None else best[2]
 
     def _is_flooding(self, each: pool_queue.Waiting) -> bool:
-        """Returns whether an organisation takes much of what others share."""
+        """Returns whether an organisation takes much of what others share.
+
+        That matters only where places are held for long.
+        """
+        if self.stage is not instances.Stage.DECODE:
+            return False
         wants = self.load.held_by(each.organisation)
         wants += pool_load.cost(each.tokens)
         return (
--- a/packages/hemlockreel/tests/forwarding/test_pool_placement.py
+++ b/packages/hemlockreel/tests/forwarding/test_pool_placement.py
@@ -137,6 +137,17 @@
     assert seen[1] < 0.02
 
 
+def test_a_flood_may_use_all_places_that_are_free_again_at_once():
+    """A place of a plain replica is held for some 30 ms."""
+    load = Load(replicas=3, stage=instances.Stage.PLAIN, places=6)
+    load.arrive(0.0, 0, "b")
+    for _ in range(40):
+        load.arrive(0.001, 0, "a")
+    load.run()
+    assert load.served("b") == 1
+    assert max(load.at_replica.values()) >= 7
+
+
 @pytest.mark.parametrize("share", [0.02, 0.1])
 def test_less_urgent_requests_neither_starve_nor_go_first(share):
     load = Load()
