Take no queue for a slow replica

The time at a replica that runs more requests than it has slots is now divided by how many times its slots they are. The test of a full service with one long queue fails before, with a pace of 0.50. The tests of the estimates reported replicas that answer the same number of requests whatever they take, which only one with a growing queue does; each now runs five requests.

--- a/packages/hemlockreel/hemlockreel/forwarding/pace_estimates.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/pace_estimates.py
@@ -162,7 +162,7 @@
         group.entries[id] = _recent(group.entries.get(id, []), now)
         summary = summarize(group.entries[id], now)
         if summary is not None:
-            found[id] = summary
+            found[id] = _without_queue(summary, slots[id])
     differences = compare(found, group.learned)
     for id, known in group.learned.items():
         difference = differences.get(id)
@@ -220,6 +220,16 @@
     )
 
 
+def _without_queue(summary: Summary, slots: int) -> Summary:
+    """Returns ``summary`` without the time that requests wait for a slot.
+
+    All replicas of a full service have queues, of lengths that vary. A
+    replica that got less for its queue would only make the others' longer.
+    """
+    waiting = max(1.0, summary.running / max(slots, 1))
+    return summary._replace(log_s=summary.log_s - math.log(waiting))
+
+
 def compare(
     found: dict[str, Summary], learned: dict[str, Learned]
 ) -> dict[str, float]:
--- a/packages/hemlockreel/tests/forwarding/test_pace_estimates.py
+++ b/packages/hemlockreel/tests/forwarding/test_pace_estimates.py
@@ -8,6 +8,7 @@
 from hemlockreel.forwarding import pace_estimates
 
 BORN = 7
+RUNNING = 5  # at each replica, less than its slots
 SLOTS = {"a": 16, "b": 16, "c": 16}
 
 
@@ -22,6 +23,7 @@
 
     def report(self, seconds, count=4, **times):
         """Reports for ``seconds``; ``times`` has those of each replica."""
+        busy_s = RUNNING * 0.5 / (self.hosts * count)
         for _ in range(2 * seconds):
             self.now += 0.5
             for host in range(self.hosts):
@@ -29,7 +31,7 @@
                     sums = pace_estimates.Sums()
                     for _ in range(count):
                         found = time * self._rng.lognormvariate(0.0, 0.5)
-                        sums = pace_estimates.add_sample(sums, found, found)
+                        sums = pace_estimates.add_sample(sums, found, busy_s)
                     entry = pace_estimates.Entry(self.now, str(host), sums)
                     pace_estimates.add_report(self.group, id, BORN, entry)
             pace_estimates.update(self.group, SLOTS, self.now)
--- a/packages/hemlockreel/tests/forwarding/test_replica_pace.py
+++ b/packages/hemlockreel/tests/forwarding/test_replica_pace.py
@@ -53,7 +53,7 @@
         end = self.fabric.now + seconds
         while self.fabric.now < end:
             self._run_until(self.fabric.now + self.rng.expovariate(per_s))
-            sent.append(self._send(self.rng.choice(self.hosts)))
+            sent.append(self.send(self.rng.choice(self.hosts)))
         return sent
 
     def _run_until(self, until):
@@ -76,12 +76,14 @@
                 self.fabric.post(host, timed)
         self.fabric.run(until - self.fabric.now)
 
-    def _send(self, host):
+    def send(self, host, instance=None):
+        """Sends a request to the first replica, or to ``instance``."""
         board = self.fabric.boards[host]
         wanted = ranking.CandidatesRequested(
             "r", SERVICE, instances.Stage.PLAIN
         )
-        instance = ranking.rank(board, wanted, self.fabric.now)[0]
+        if instance is None:
+            instance = ranking.rank(board, wanted, self.fabric.now)[0]
         self.fabric.post(host, replica_selection.SendStarted(instance.id))
         self.running[instance.id] += 1
         seconds, succeeded = self.answer_s(
@@ -198,6 +200,22 @@
         assert [fleet.places(id) for id in fleet.running] == [SLOTS] * 3
 
 
+def test_a_queue_is_not_taken_for_a_slow_replica():
+    """Load: a full service; one replica has a long queue after a burst."""
+    listed = tuple(each._replace(slots=6) for each in LISTED)
+    fleet = Fleet(listed=listed)
+    fleet.answer_s = lambda host, id, running: (
+        ANSWER_S * max(1.0, running / 6),
+        True,
+    )
+    fleet.serve(2.0, per_s=300)
+    for host in 2 * fleet.hosts:
+        fleet.send(host, listed[1])
+    for _ in range(8):
+        fleet.serve(0.5, per_s=420)
+        assert [fleet.pace(id) for id in fleet.running] == [1.0] * 3
+
+
 def test_alike_replicas_are_ranked_as_without_pace():
     """Load: a calm fleet, where the pace must change no choice."""
     sent = []
