Ignore answers to earlier asks for a place

A refusal that crossed the next ask of the same place removed its entry. The place given next was dropped: the worker got no answer, its whole host took the giver for silent, and the place was held until it expired. A late refusal also removed a place that the worker used by its own choice.

An entry now keeps the number of its last ask, and answers to others are ignored. A place given for an earlier ask isn't freed: the last ask has the same key, and the giver answers it with that place.

--- a/packages/hemlockreel/hemlockreel/forwarding/shared_placement.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/shared_placement.py
@@ -103,7 +103,8 @@
     """A place that this host has asked for.
 
     ``replica`` is empty until it is given. ``request_id`` is empty once the
-    worker has decided by itself.
+    worker has decided by itself. ``number`` is that of the last ask, or 0
+    then; answers to others are ignored.
     """
 
     request_id: str
@@ -112,6 +113,7 @@
     tokens: int
     organisation: str
     since: float
+    number: int = 0
 
 
 class State:
@@ -184,6 +186,7 @@
         event.tokens,
         event.organisation,
         now if known is None else known.since,
+        event.number,
     )
     asked = messages.PlaceAsked(
         **board.sender_fields,
@@ -216,16 +219,31 @@
     return tuple(sorted(unreached.union(event.exclude)))
 
 
+def _asked(
+    board: boards.Board,
+    event: messages.PlaceGiven | messages.PlaceQueued | messages.PlaceRefused,
+) -> Held | None:
+    """Returns what an answer is for, ``None`` if its ask isn't the last one.
+
+    A place that was given for an earlier ask isn't freed: the last one has
+    the same key, and the giver answers it with the place.
+    """
+    known = board.state(State).held.get(event.key)
+    if known is None or known.number != event.number:
+        return None
+    return known
+
+
 @handle.register
 def _place_given(
     event: messages.PlaceGiven, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
-    state = board.state(State)
-    known = state.held.get(event.key)
-    if known is None or not known.request_id:
+    known = _asked(board, event)
+    if known is None:
         return
     if event.replicas:
-        state.held[event.key] = known._replace(replica=event.replicas[0])
+        held = board.state(State).held
+        held[event.key] = known._replace(replica=event.replicas[0])
     yield actions.Reply(
         known.request_id, Answer(event.key, event.number, event.replicas)
     )
@@ -235,7 +253,7 @@
 def _place_queued(
     event: messages.PlaceQueued, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
-    known = board.state(State).held.get(event.key)
+    known = _asked(board, event)
     if known is not None:
         queued = Answer(event.key, event.number, None)
         yield actions.Reply(known.request_id, queued)
@@ -245,8 +263,9 @@
 def _place_refused(
     event: messages.PlaceRefused, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
-    known = board.state(State).held.pop(event.key, None)
+    known = _asked(board, event)
     if known is not None:
+        del board.state(State).held[event.key]
         after_s = event.after_s if math.isfinite(event.after_s) else 0.0
         refused = Answer(event.key, event.number, None, max(0.0, after_s))
         yield actions.Reply(known.request_id, refused)
--- a/packages/hemlockreel/tests/forwarding/test_shared_placement.py
+++ b/packages/hemlockreel/tests/forwarding/test_shared_placement.py
@@ -224,6 +224,35 @@
     assert hosts.in_use() == hosts.known() == {key: "d3"}
 
 
+def test_a_refusal_that_crosses_the_next_ask_changes_nothing():
+    hosts = Hosts()
+    host = next(name for name in hosts.names if name != hosts.giver)
+    key = hosts.ask(host, number=2)
+    refused = messages.PlaceRefused(
+        sender=hosts.giver, epoch=1, key=key, number=1, after_s=1.0
+    )
+    hosts.fabric.post(host, refused)
+    hosts.fabric.run(0.1)
+    assert hosts.answers[key].replicas
+    assert hosts.in_use() == hosts.known() != {}
+    hosts.end(host, key)
+    hosts.fabric.run(0.1)
+    assert not hosts.known()
+
+
+def test_a_refusal_that_came_too_late_keeps_the_place_in_use():
+    hosts = Hosts()
+    host = next(name for name in hosts.names if name != hosts.giver)
+    used = shared_placement.PlaceUsed("k", "d3", *POOL, 1000, "")
+    hosts.fabric.post(host, used)
+    refused = messages.PlaceRefused(
+        sender=hosts.giver, epoch=1, key="k", number=1, after_s=1.0
+    )
+    hosts.fabric.post(host, refused)
+    hosts.fabric.run(0.1)
+    assert hosts.in_use() == {"k": "d3"}
+
+
 def test_a_stage_of_a_later_build_is_ignored():
     hosts = Hosts()
     asked = messages.PlaceAsked(
