Answer a repeated ask for a place without a sort

Waiting requests ask again every 0.25 s, and each time the giver put all that wait in order, on its one loop. A repeat that wants the same as before now only renews its entry; it is served when its place comes, as before, or refused by the tick.

--- a/packages/hemlockreel/hemlockreel/forwarding/pool_placement.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/pool_placement.py
@@ -128,6 +128,10 @@
         if before is not None:
             asked = asked._replace(asked_at=before.asked_at)
         self.queue.waiting[asked.key] = asked
+        if _is_repeat(asked, before) and not refused and now < asked.until:
+            # What it waits for is served when it comes, so the order of those
+            # that wait isn't needed.
+            return [Queued(asked)]
         decisions = self.serve(now)
         if asked.key not in self.queue.waiting:
             return decisions
@@ -388,3 +392,12 @@
             self._large_tokens = each.tokens
             self._kept_until = now + KEPT_S
         return Refused(each, after_s)
+
+
+def _is_repeat(
+    asked: pool_queue.Waiting, before: pool_queue.Waiting | None
+) -> bool:
+    """Returns whether ``asked`` wants the same as what waits already."""
+    return before is not None and asked == before._replace(
+        number=asked.number, until=asked.until
+    )
--- a/packages/hemlockreel/tests/forwarding/test_pool_placement.py
+++ b/packages/hemlockreel/tests/forwarding/test_pool_placement.py
@@ -222,3 +222,24 @@
         (decision,) = pool.ask(asked, "", False, number / 1000)
         given.append(decision.replica)
     assert given.count("slow") == 3
+
+
+def test_a_request_that_asks_again_is_not_put_in_order_again(monkeypatch):
+    pool = Load(replicas=1, places=1).pool
+    for key in "abc":
+        asked = pool_queue.Waiting(key, "h", 1, 10, 0, "a", 0.0, 1.0)
+        pool.ask(asked, "", False, 0.0)
+    orders = []
+    ordered = pool.queue.ordered
+    monkeypatch.setattr(
+        pool.queue, "ordered", lambda *a: orders.append(a) or ordered(*a)
+    )
+    again = asked._replace(number=2, asked_at=0.25, until=1.01)
+    decisions = pool.ask(again, "", False, 0.25)
+    expected = again._replace(asked_at=0.0)
+    assert decisions == [pool_placement.Queued(expected)]
+    assert pool.queue.waiting["c"] == expected
+    assert not orders
+    assert pool.free("a", True, 0.3)[0].waiting.key == "b"
+    late = pool.ask(again._replace(until=0.4), "", False, 0.4)
+    assert isinstance(late[-1], pool_placement.Refused)
