Give a place back if the release of memory fails

The end of a run posted the end of its place after the call that releases the reservation. If that raised, the place stayed in the reports of its host for good. The place and the send now end in any case, still after the release, as the next request with this place needs the memory.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
@@ -183,20 +183,23 @@
         try:
             return self._run_once(reserved, result)
         finally:
-            if not result.reservation_used and self.may_call(
-                instance, reserved.has_permit
-            ):
-                self.tools.backends.release_reservation(
-                    instance, reserved.reservation_id
+            # The memory first: the next request with this place needs it.
+            try:
+                if not result.reservation_used and self.may_call(
+                    instance, reserved.has_permit
+                ):
+                    self.tools.backends.release_reservation(
+                        instance, reserved.reservation_id
+                    )
+            finally:
+                good = result.succeeded if self.box.stopped is None else None
+                self.post(
+                    replica_selection.SendFinished(
+                        instance.id, reserved.tokens, good
+                    )
                 )
-            good = result.succeeded if self.box.stopped is None else None
-            self.post(
-                replica_selection.SendFinished(
-                    instance.id, reserved.tokens, good
-                )
-            )
-            reserved.place.succeeded = good is True
-            reserved.place.end()
+                reserved.place.succeeded = good is True
+                reserved.place.end()
 
     def _run_once(
         self, reserved: reservation.Reservation, result: RunResult
--- a/packages/hemlockreel-daemon/tests/forwarding/test_shared_places.py
+++ b/packages/hemlockreel-daemon/tests/forwarding/test_shared_places.py
@@ -1,5 +1,7 @@
 """Requests whose places one host gives for all hosts."""
 
+import contextlib
+
 import pytest
 
 from hemlockreel import messages
@@ -73,6 +75,20 @@
     assert all(each.is_idle for each in state.pools.values())
 
 
+def test_a_place_is_given_back_if_the_release_fails(own, monkeypatch):
+    def fail(*_):
+        raise RuntimeError("lost")
+
+    monkeypatch.setattr(own.backends, "release_reservation", fail)
+    own.backends.on_send = lambda *_: rigs.make_send_failure()
+    with contextlib.suppress(RuntimeError):
+        own.handle_request()
+    assert own.backends.count("hold")
+    state = own.board.state(shared_placement.State)
+    assert not state.held
+    assert all(each.is_idle for each in state.pools.values())
+
+
 def test_silence_of_the_giver_costs_a_part_of_the_objective(own, monkeypatch):
     monkeypatch.setattr(shared_placement, "giver", lambda *_: "gone:1")
     started = clock.now()
