Learn how long plain places are held from successes only

A complete response of status 500 counted as done, so replicas that fail at once shortened the learned time, and the giver let requests wait for room that it then predicted too early. A status of 500 and above no longer counts.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/plain_requests.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/plain_requests.py
@@ -70,7 +70,7 @@
                 if isinstance(ordered, outcomes.Refused):
                     return last or ordered
                 result = self._attempt_first(ordered, until)
-                place.succeeded = isinstance(result, Response)
+                place.succeeded = _is_success(result)
             finally:
                 place.end()
             if result is None:
@@ -194,9 +194,7 @@
             # Without framing, this may be the first part of an answer.
             if isinstance(result, Response) and head.framed:
                 self.report_complete(clock.now() - sent_at)
-            succeeded = (
-                isinstance(result, Response) and result.status < SERVER_ERROR
-            )
+            succeeded = _is_success(result)
             if succeeded:
                 seconds = clock.now() - sent_at
                 self.report_time(
@@ -236,3 +234,7 @@
             )
         finally:
             head.opened.close()
+
+
+def _is_success(result: Response | outcomes.Refused | None) -> bool:
+    return isinstance(result, Response) and result.status < SERVER_ERROR
--- a/packages/hemlockreel-daemon/tests/forwarding/test_plain_requests.py
+++ b/packages/hemlockreel-daemon/tests/forwarding/test_plain_requests.py
@@ -5,6 +5,7 @@
 from hemlockreel_standins import forwarding_rig as rigs
 
 from hemlockreel.forwarding import deployments
+from hemlockreel.forwarding import shared_placement
 from hemlockreel_daemon.forwarding import interfaces
 
 Kind = deployments.RouteKind
@@ -74,6 +75,18 @@
     assert len(set(asked)) == len(asked)
 
 
+@pytest.mark.parametrize(("answer", "good"), [(ok(), True), (failed(), False)])
+def test_only_successes_teach_how_long_a_place_is_held(rig, answer, good):
+    rig.board.state(shared_placement.State).is_shared = True
+    carry(rig, BOOKING, [answer])
+    ended = [
+        each.succeeded
+        for each in rig.loop.seen
+        if isinstance(each, shared_placement.PlaceEnded)
+    ]
+    assert ended == [good]
+
+
 def test_a_refusal_as_not_run_has_a_retry_after(rig):
     response = carry(rig, BOOKING, [rigs.make_send_failure()])
     assert float(dict(response.headers)["Retry-After"]) > 0
