Answer a waiting ask that a report of its place crosses

A report removed the ask with the same key from those that wait, and nobody answered it. It is now answered with the reported replica, which a host that has decided by itself ignores. If the ask can't be for that replica, as the host excludes it or it turned requests away since, the report is the older one and the ask goes on waiting.

--- a/packages/hemlockreel/hemlockreel/forwarding/pool_placement.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/pool_placement.py
@@ -151,10 +151,21 @@
             self._learn(place, now - place.since)
         return self.serve(now)
 
-    def confirm(self, key: str, place: pool_load.Place) -> None:
-        """Notes a place that a host reports to hold."""
+    def confirm(self, key: str, place: pool_load.Place) -> list[Decision]:
+        """Notes a place that a host reports to hold.
+
+        The report may be older than an ask for the same place that waits. It
+        is if the ask can't be for that replica; else this answers the ask.
+        """
+        waiting = self.queue.waiting.get(key)
+        if waiting is not None and (
+            place.replica in waiting.exclude
+            or place.seen_at < self._full_until.get(place.replica, -math.inf)
+        ):
+            return []
         self.queue.waiting.pop(key, None)
         self.load.confirm(key, place)
+        return [] if waiting is None else [Given(waiting, place.replica)]
 
     def tick(self, now: float) -> list[Decision]:
         """Drops what has expired and refuses what can't be in time."""
--- a/packages/hemlockreel/hemlockreel/forwarding/shared_placement.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/shared_placement.py
@@ -436,8 +436,9 @@
 ) -> Iterable[actions.Action]:
     stage = _stage(event.stage)
     if stage is None:
-        return ()
-    pool = _pool(board, (event.service, stage), now)
+        return
+    key = (event.service, stage)
+    pool = _pool(board, key, now)
     for each in event.places:
         age_s = each.age_s if math.isfinite(each.age_s) else 0.0
         place = pool_load.Place(
@@ -447,8 +448,7 @@
             now - max(0.0, age_s),
             now,
         )
-        pool.confirm(each.key, place)
-    return ()
+        yield from _answer(board, key, pool.confirm(each.key, place), now)
 
 
 def _answer(
--- a/packages/hemlockreel/tests/forwarding/test_pool_placement.py
+++ b/packages/hemlockreel/tests/forwarding/test_pool_placement.py
@@ -243,3 +243,22 @@
     assert pool.free("a", True, 0.3)[0].waiting.key == "b"
     late = pool.ask(again._replace(until=0.4), "", False, 0.4)
     assert isinstance(late[-1], pool_placement.Refused)
+
+
+@pytest.mark.parametrize(
+    ("exclude", "refused", "is_given"),
+    [((), "", True), (("d0",), "", False), ((), "d0", False)],
+)
+def test_a_report_that_crosses_an_ask_leaves_it_no_silence(
+    exclude, refused, is_given
+):
+    pool = Load(replicas=1, places=1).pool
+    first = pool_queue.Waiting("a", "h", 1, 10, 0, "a", 0.0, 1.0)
+    pool.ask(first, "", False, 0.0)
+    asked = first._replace(key="b", exclude=exclude)
+    pool.ask(asked, refused, True, 0.1)
+    place = pool_load.Place("d0", 10, "a", 0.0, 0.1)
+    decisions = pool.confirm("b", place)
+    assert decisions == ([pool_placement.Given(asked, "d0")] * is_given)
+    assert ("b" in pool.queue.waiting) != is_given
+    assert ("b" in pool.load.places) == is_given
