Ask a silent giver of places less and less often

The pause now doubles while the giver stays silent, up to 8 s. Any answer shortens it to the first one again; asks from before the pause don't lengthen it.

--- a/packages/hemlockreel/hemlockreel/forwarding/shared_placement.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/shared_placement.py
@@ -32,8 +32,10 @@
 from . import replica_pace
 
 REPORT_S = 1.0
-# How long a host that did not answer isn't asked again.
+# How long a host that did not answer isn't asked again. The pause
+# doubles while the host stays silent, as each ask costs a request its wait.
 SILENT_S = 0.5
+MAX_SILENT_S = 8.0
 LOG_PERIOD_S = 1.0  # for each pool
 
 PoolKey = tuple[str, instances.Stage]
@@ -116,18 +118,27 @@
     number: int = 0
 
 
+class Silence(NamedTuple):
+    """A host that did not answer isn't asked until ``until``.
+
+    The pause before that was ``pause_s``, or 0 if it has answered since.
+    """
+
+    until: float
+    pause_s: float
+
+
 class State:
     """The places of this host's requests, and the pools that it gives.
 
     ``is_shared`` is set if the platform's settings want shared places.
-    ``silent`` maps a host that did not answer to the time until which it is
-    not asked.
+    ``silent`` maps a host that did not answer to its last pause.
     """
 
     def __init__(self):
         self.is_shared = False
         self.held: dict[str, Held] = {}
-        self.silent: dict[str, float] = {}
+        self.silent: dict[str, Silence] = {}
         self.pools: dict[PoolKey, pool_placement.Pool] = {}
         self.next_report = 0.0
         self.logged_at: dict[PoolKey, float] = {}
@@ -174,7 +185,9 @@
     state = board.state(State)
     pool = (event.service, event.stage)
     host = giver(board, pool)
-    if not state.is_shared or state.silent.get(host, now) > now:
+    silence = state.silent.get(host)
+    is_silent = silence is not None and silence.until > now
+    if not state.is_shared or is_silent:
         yield actions.Count("placement_fallbacks")
         yield actions.Reply(event.request_id, Answer(event.key, event.number))
         return
@@ -222,13 +235,20 @@
 def _asked(
     board: boards.Board,
     event: messages.PlaceGiven | messages.PlaceQueued | messages.PlaceRefused,
+    now: float,
 ) -> Held | None:
     """Returns what an answer is for, ``None`` if its ask isn't the last one.
 
+    Any answer shortens the pause of a host that was silent to the first one.
     A place that was given for an earlier ask isn't freed: the last one has
     the same key, and the giver answers it with the place.
     """
-    known = board.state(State).held.get(event.key)
+    state = board.state(State)
+    silence = state.silent.get(event.sender)
+    if silence is not None:
+        until = min(silence.until, now + SILENT_S)
+        state.silent[event.sender] = Silence(until, 0.0)
+    known = state.held.get(event.key)
     if known is None or known.number != event.number:
         return None
     return known
@@ -238,7 +258,7 @@
 def _place_given(
     event: messages.PlaceGiven, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
-    known = _asked(board, event)
+    known = _asked(board, event, now)
     if known is None:
         return
     if event.replicas:
@@ -253,7 +273,7 @@
 def _place_queued(
     event: messages.PlaceQueued, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
-    known = _asked(board, event)
+    known = _asked(board, event, now)
     if known is not None:
         queued = Answer(event.key, event.number, None)
         yield actions.Reply(known.request_id, queued)
@@ -263,7 +283,7 @@
 def _place_refused(
     event: messages.PlaceRefused, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
-    known = _asked(board, event)
+    known = _asked(board, event, now)
     if known is not None:
         del board.state(State).held[event.key]
         after_s = event.after_s if math.isfinite(event.after_s) else 0.0
@@ -311,7 +331,13 @@
     event: PlaceUnanswered, board: boards.Board, now: float
 ) -> Iterable[actions.Action]:
     host = giver(board, (event.service, event.stage))
-    board.state(State).silent[host] = now + SILENT_S
+    silent = board.state(State).silent
+    known = silent.get(host)
+    # Those that asked before the pause are no news.
+    if known is None or known.until <= now:
+        last_s = 0.0 if known is None else known.pause_s
+        pause_s = min(max(SILENT_S, 2 * last_s), MAX_SILENT_S)
+        silent[host] = Silence(now + pause_s, pause_s)
     yield actions.Count("placement_fallbacks")
 
 
--- a/packages/hemlockreel/tests/forwarding/test_shared_placement.py
+++ b/packages/hemlockreel/tests/forwarding/test_shared_placement.py
@@ -214,6 +214,27 @@
     assert hosts.answers[key].replicas
 
 
+def test_a_giver_that_stays_silent_is_asked_less_and_less_often():
+    hosts = Hosts()
+    host = next(name for name in hosts.names if name != hosts.giver)
+    silent = hosts.fabric.boards[host].state(shared_placement.State).silent
+
+    def pause_s():
+        for _ in range(3):  # all that were under way
+            unanswered = shared_placement.PlaceUnanswered(*POOL)
+            hosts.fabric.post(host, unanswered)
+        hosts.fabric.run(0.01)
+        paused = silent[hosts.giver].pause_s
+        hosts.fabric.run(paused)
+        return paused
+
+    assert [pause_s() for _ in range(6)] == [0.5, 1.0, 2.0, 4.0, 8.0, 8.0]
+    key = hosts.ask(host)
+    hosts.fabric.run(0.05)
+    assert hosts.answers[key].replicas
+    assert pause_s() == shared_placement.SILENT_S
+
+
 def test_an_answer_that_came_too_late_changes_nothing():
     hosts = Hosts()
     host = next(name for name in hosts.names if name != hosts.giver)
