--- a/packages/hemlockreel/hemlockreel/forwarding/pool_placement.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/pool_placement.py
@@ -128,6 +128,10 @@
         if before is not None:
             asked = asked._replace(asked_at=before.asked_at)
         self.queue.waiting[asked.key] = asked
+        if _is_repeat(asked, before) and not refused and now < asked.until:
+            # What it waits for is served when it comes, so the order of those
+            # that wait isn't needed.
+            return [Queued(asked)]
         decisions = self.serve(now)
         if asked.key not in self.queue.waiting:
             return decisions
@@ -147,10 +151,21 @@
             self._learn(place, now - place.since)
         return self.serve(now)
 
-    def confirm(self, key: str, place: pool_load.Place) -> None:
-        """Notes a place that a host reports to hold."""
+    def confirm(self, key: str, place: pool_load.Place) -> list[Decision]:
+        """Notes a place that a host reports to hold.
+
+        The report may be older than an ask for the same place that waits. It
+        is if the ask can't be for that replica; else this answers the ask.
+        """
+        waiting = self.queue.waiting.get(key)
+        if waiting is not None and (
+            place.replica in waiting.exclude
+            or place.seen_at < self._full_until.get(place.replica, -math.inf)
+        ):
+            return []
         self.queue.waiting.pop(key, None)
         self.load.confirm(key, place)
+        return [] if waiting is None else [Given(waiting, place.replica)]
 
     def tick(self, now: float) -> list[Decision]:
         """Drops what has expired and refuses what can't be in time."""
@@ -388,3 +403,12 @@
             self._large_tokens = each.tokens
             self._kept_until = now + KEPT_S
         return Refused(each, after_s)
+
+
+def _is_repeat(
+    asked: pool_queue.Waiting, before: pool_queue.Waiting | None
+) -> bool:
+    """Returns whether ``asked`` wants the same as what waits already."""
+    return before is not None and asked == before._replace(
+        number=asked.number, until=asked.until
+    )
