Lend a raised cap once while hosts differ in its version

A lender that was a version behind took turns between its own cap and that of the questions, and gave the added burst at each change to the greater one. It also fell back to its own older cap when the hosts changed.

It keeps the version with the cap now and never returns to an older one. Two new tests failed before and pass; the tests of caps of the core, the daemon and the platform pass.

--- a/packages/hemlockreel/hemlockreel/forwarding/usage_lending.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/usage_lending.py
@@ -51,10 +51,12 @@
 class Lent(NamedTuple):
     """This host's part of a cap and what is left of it.
 
-    If it ``may_owe``, a request above the depth can be lent.
+    The cap is that of the deployment's ``version``, and never gets older. If
+    it ``may_owe``, a request above the depth can be lent.
     """
 
     cap: organisations.UsageCap
+    version: int
     bucket: usage_buckets.Bucket
     may_owe: bool = True
 
@@ -188,11 +190,15 @@
         return ()
     state.basis = basis
     before, state.lent = state.lent, {}
-    for each in found.organisations:
-        if each.cap.is_limited:
-            lent = _refilled(board, before.get(each.name), each, now)
+    caps = {each.name: (each.cap, version) for each in found.organisations}
+    for name, known in before.items():
+        if known.version > version:
+            caps[name] = (known.cap, known.version)
+    for name, (cap, newest) in caps.items():
+        if cap.is_limited:
+            lent = _refilled(board, before.get(name), name, cap, newest, now)
             if lent is not None:
-                state.lent[each.name] = lent
+                state.lent[name] = lent
     return ()
 
 
@@ -212,10 +218,10 @@
 ) -> messages.Loan:
     state = board.state(State)
     known = state.lent.get(want.organisation)
-    newest = _newest(board, want)
+    cap, version = _newest(board, want, known)
     lent = None
-    if newest is not None and has_settled(board, now):
-        lent = _refilled(board, known, newest, now)
+    if cap is not None and cap.is_limited and has_settled(board, now):
+        lent = _refilled(board, known, want.organisation, cap, version, now)
     if lent is None:
         state.lent.pop(want.organisation, None)
         return messages.Loan(want.organisation, 0.0, 0.0, 0.0)
@@ -237,35 +243,37 @@
 
 
 def _newest(
-    board: boards.Board, want: messages.Want
-) -> organisations.Organisation | None:
-    """Returns the organisation in the newer version, here or at the sender.
+    board: boards.Board, want: messages.Want, known: Lent | None
+) -> tuple[organisations.UsageCap | None, int]:
+    """Returns the cap of the newest version, and that version.
 
-    It is ``None`` if there is no such cap.
+    It is here, at the sender or what was ``known`` from another sender. The
+    cap is ``None`` if there is none.
     """
-    if active_deployment.organisations_version(board) >= want.version:
-        cap = find_cap(board, want.organisation)
-    else:
-        try:
-            unit = organisations.Unit(want.unit)
-        except ValueError:
-            return None
-        cap = organisations.UsageCap(want.rate, want.burst, unit)
-    if cap is None or not cap.is_limited:
-        return None
-    return organisations.Organisation(want.organisation, (), cap=cap)
+    version = active_deployment.organisations_version(board)
+    newest = max(version, want.version)
+    if known is not None and known.version > newest:
+        return known.cap, known.version
+    if version == newest:
+        return find_cap(board, want.organisation), newest
+    try:
+        unit = organisations.Unit(want.unit)
+    except ValueError:
+        return None, newest
+    return organisations.UsageCap(want.rate, want.burst, unit), newest
 
 
 def _refilled(
     board: boards.Board,
     known: Lent | None,
-    organisation: organisations.Organisation,
+    organisation: str,
+    cap: organisations.UsageCap,
+    version: int,
     now: float,
 ) -> Lent | None:
     """Returns this host's part of a cap now, ``None`` if others lend it."""
     state = board.state(State)
-    cap = organisation.cap
-    hosts = lenders(board, organisation.name, cap)
+    hosts = lenders(board, organisation, cap)
     if board.identity.host not in hosts:
         return None
     seen = members(board)
@@ -282,13 +290,13 @@
     if known is None:
         level = usage_bounds.start(state.limits, cap) * share
         bucket = usage_buckets.Bucket(min(depth, level), now, rate, depth)
-        return Lent(cap, bucket, may_owe)
+        return Lent(cap, version, bucket, may_owe)
     bucket = usage_buckets.refill(known.bucket, now)
     raised = max(0.0, cap.burst - known.cap.burst) * share
     if (known.cap.rate, known.cap.burst) != (cap.rate, cap.burst):
         bucket = bucket._replace(level=bucket.level + raised)
     bucket = usage_buckets.resize(bucket, rate, depth)
-    return Lent(cap, bucket, may_owe)
+    return Lent(cap, version, bucket, may_owe)
 
 
 @handle.register
--- a/packages/hemlockreel/tests/forwarding/test_usage_caps.py
+++ b/packages/hemlockreel/tests/forwarding/test_usage_caps.py
@@ -230,6 +230,39 @@
     assert fleet.most() <= fleet.allowed
 
 
+def test_a_raised_cap_is_lent_once_while_versions_alternate():
+    """One host is told; the lenders and another host are a version behind."""
+    fleet = Fleet(12)
+    others = [each for each in fleet.hosts if each not in fleet.lenders()]
+    fleet.configure(CAP._replace(burst=4 * CAP.burst), others[:1])
+    for _ in range(40):
+        fleet.ask(others[0], LARGE)
+        fleet.ask(others[1], LARGE)
+        fleet.fabric.run(0.02)
+    lent = fleet.sum_used()
+    assert lent <= 4 * CAP.burst + 2 * CAP.rate
+
+
+def test_a_lender_that_is_behind_keeps_the_newer_cap_when_hosts_change():
+    fleet = Fleet(12)
+    lenders = fleet.lenders()
+    others = [each for each in fleet.hosts if each not in lenders]
+    lower = CAP._replace(burst=CAP.burst / 2)
+    fleet.configure(lower, others)
+    for each in others[:4]:
+        fleet.ask(each, LARGE)
+        fleet.fabric.run(0.1)
+    states = [
+        fleet.fabric.boards[each].state(usage_lending.State)
+        for each in lenders
+    ]
+    told = [each for each in states if each.lent[NAME].cap.burst < CAP.burst]
+    assert told
+    fleet.fabric.kill(others[-1])
+    fleet.fabric.run(10.0)
+    assert all(each.lent[NAME].cap.burst < CAP.burst for each in told)
+
+
 def test_the_last_host_has_the_whole_cap_once_others_are_forgotten():
     fleet = Fleet(3)
     for host in fleet.hosts[1:]:
