Forget hosts and prefill replicas that left the shared places

The silence of hosts, the times of logged refusals and the speeds of prefill replicas were kept for good. The report of each second drops the first two, the tick of a pool the third, unless the pool has no replicas at present.

--- a/packages/hemlockreel/hemlockreel/forwarding/pool_placement.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/pool_placement.py
@@ -173,6 +173,7 @@
         self._full_until = {
             id: until for id, until in self._full_until.items() if until > now
         }
+        self._forget_speeds()
         decisions = self.serve(now)
         waits = self._waits(now)
         for each in list(self.queue.waiting.values()):
@@ -361,6 +362,14 @@
         else:
             known.add(speed)
 
+    def _forget_speeds(self) -> None:
+        """Forgets the speeds of replicas that left."""
+        # An empty list says that it is late, not that all have left.
+        if self.replicas and len(self._speeds) > len(self.replicas):
+            present = {each.id for each in self.replicas}
+            for id in self._speeds.keys() - present:
+                del self._speeds[id]
+
     def _waits(self, now: float) -> dict[str, float]:
         """Returns the predicted seconds until each of the waiting is served.
 
--- a/packages/hemlockreel/hemlockreel/forwarding/shared_placement.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/shared_placement.py
@@ -548,6 +548,7 @@
         return
     if now >= state.next_report:
         state.next_report = now + REPORT_S
+        _prune(board, now)
         by_pool: dict[PoolKey, list[str]] = {}
         for key, each in state.held.items():
             by_pool.setdefault(each.pool, []).append(key)
@@ -561,3 +562,16 @@
             continue
         decisions = _pool(board, key, now).tick(now)
         yield from _answer(board, key, decisions, now)
+
+
+def _prune(board: boards.Board, now: float) -> None:
+    """Forgets the silence of hosts that left, and when old logs were."""
+    state = board.state(State)
+    if state.silent:
+        live = {each.host for each in membership.live_members(board)}
+        for host in state.silent.keys() - live:
+            if state.silent[host].until <= now:
+                del state.silent[host]
+    for key, at in list(state.logged_at.items()):
+        if now - at >= LOG_PERIOD_S:
+            del state.logged_at[key]
--- a/packages/hemlockreel/tests/forwarding/test_pool_placement.py
+++ b/packages/hemlockreel/tests/forwarding/test_pool_placement.py
@@ -13,6 +13,7 @@
 from hemlockreel.forwarding import pool_load
 from hemlockreel.forwarding import pool_placement
 from hemlockreel.forwarding import pool_queue
+from hemlockreel.forwarding import prefill_times
 
 MEMORY_TOKENS = 80_000
 HOLD_S = 3.0
@@ -262,3 +263,22 @@
     assert decisions == ([pool_placement.Given(asked, "d0")] * is_given)
     assert ("b" in pool.queue.waiting) != is_given
     assert ("b" in pool.load.places) == is_given
+
+
+def test_speeds_of_replicas_that_left_are_forgotten():
+    load = Load(replicas=3, stage=instances.Stage.PREFILL)
+    for each in range(60):
+        load.arrive(each / 30, 5_000, wait_s=10.0)
+    load.run()
+    pool = load.pool
+    pool.load.put("x", pool_load.Place("d0", 5_000, "a", 0.0, 99.0))
+    pool.load.put("y", pool_load.Place("d2", 5_000, "a", 0.0, 99.0))
+    before = [pool.busy_s("d0"), pool.busy_s("d2")]
+    all_of_them, pool.replicas = pool.replicas, ()
+    pool.tick(99.0)
+    assert [pool.busy_s("d0"), pool.busy_s("d2")] == before
+    pool.replicas = all_of_them[:2]
+    pool.tick(99.0)
+    assert pool.busy_s("d0") == before[0]
+    assert pool.busy_s("d2") == 5_000 / prefill_times.DEFAULT_TOKENS_PER_S
+    assert pool.busy_s("d2") != before[1]
--- a/packages/hemlockreel/tests/forwarding/test_shared_placement.py
+++ b/packages/hemlockreel/tests/forwarding/test_shared_placement.py
@@ -299,3 +299,33 @@
         for sent in hosts.fabric.sent.values()
         for each in sent
     )
+
+
+def test_hosts_that_left_are_forgotten():
+    hosts = Hosts()
+    giver = hosts.giver
+    host = next(name for name in hosts.names if name != giver)
+    state = hosts.fabric.boards[host].state(shared_placement.State)
+    hosts.fabric.post(host, shared_placement.PlaceUnanswered(*POOL))
+    hosts.fabric.run(2 * shared_placement.REPORT_S)
+    assert list(state.silent) == [giver]
+    hosts.kill(giver)
+    for _ in range(60):
+        hosts.fabric.run(0.1)
+        if hosts.giver != giver:
+            break
+    hosts.fabric.run(10.0)
+    assert not state.silent
+
+
+def test_old_refusals_are_forgotten():
+    hosts = Hosts()
+    for _ in range(64):
+        hosts.ask(hosts.names[0])
+    hosts.fabric.run(0.05)
+    hosts.ask(hosts.names[1], wait_s=0.1)
+    hosts.fabric.run(0.5)
+    state = hosts.fabric.boards[hosts.giver].state(shared_placement.State)
+    assert list(state.logged_at) == [POOL]
+    hosts.fabric.run(shared_placement.LOG_PERIOD_S + shared_placement.REPORT_S)
+    assert not state.logged_at
