Count tokens of a prefill that may have run

A request whose prefill ended without an answer gave its tokens back if no decode replica ran it, though a prefill replica may have worked on it.

Such a prefill counts as used now; one that was refused or not sent still goes back.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/generation.py
@@ -57,7 +57,8 @@
     @property
     def has_used(self) -> bool:
         """Whether a replica may have worked on the prompt or the answer."""
-        return self.ran or self._record.was_prefilled
+        record = self._record
+        return self.ran or record.was_prefilled or record.may_have_prefilled
 
     def run(self) -> None:
         """Runs the request and sends the response."""
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/progress.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/progress.py
@@ -16,6 +16,7 @@
     reached replicas of both stages; each one after the first takes a retry
     from the budget. ``refused_runs`` counts the runs that a replica refused.
     ``was_prefilled`` is set once a prefill replica has processed the prompt,
+    ``may_have_prefilled`` if one may have without an answer, and
     ``decode_prefills`` if the decode replica does the prefill from now on.
 
     ``media_type`` is that of the response that the caller gets, ``None`` until
@@ -38,6 +39,7 @@
         self.deliveries = 0
         self.refused_runs = 0
         self.was_prefilled = False
+        self.may_have_prefilled = False
         self.decode_prefills = False
         self.prefill_result: interfaces.PrefillResult | None = None
         self.prefill_result_at = 0.0
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/remote_prefill.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/remote_prefill.py
@@ -149,6 +149,8 @@
         record.prefill_instance = instance
     elif prefilled.ran is not interfaces.Ran.NOT_SENT:
         record.deliveries += 1
+        if prefilled.ran is interfaces.Ran.UNKNOWN:
+            record.may_have_prefilled = True
     return prefilled
 
 
