Take a loan only for the organisation that asked for it

A loan to one organisation could allow a waiting request of another: keys of questions began again at 1 after a restart, so an answer to the earlier run was taken for one of the new run.

The organisation of the loan is compared, and keys begin at a random number. Both new tests failed before; the tests of caps of the core, the daemon and the platform pass.

--- a/packages/hemlockreel/hemlockreel/forwarding/usage_caps.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/usage_caps.py
@@ -39,6 +39,7 @@
 MAX_RETRY_AFTER_S = 10.0
 LOG_PERIOD_S = 5.0  # between two log lines about one organisation
 RETRY_SOON_S = 0.5  # while no lender answers
+KEY_BITS = 48  # of the first key
 
 
 class UsageRequested(NamedTuple):
@@ -81,6 +82,7 @@
     """The accounts by organisation, and the requests that wait, by key.
 
     ``asked_at`` has the times of all questions that are not answered, by key.
+    Keys begin at random, since answers to an earlier run may still come.
     """
 
     def __init__(self):
@@ -172,6 +174,8 @@
 ) -> actions.Send:
     """Returns the question with the next key."""
     state = board.state(State)
+    if not state.last_key:
+        state.last_key = board.rng.getrandbits(KEY_BITS)
     state.last_key += 1
     state.asked_at[state.last_key] = now
     asked = messages.UsageAsked(
@@ -352,7 +356,11 @@
             loan.left, loan.refill, now
         )
         rest = loan.amount
-        if waiting is not None and 0 < waiting.request.cost <= rest:
+        if (
+            waiting is not None
+            and waiting.request.organisation == loan.organisation
+            and 0 < waiting.request.cost <= rest
+        ):
             rest -= waiting.request.cost
             yield actions.Reply(waiting.request.request_id, Allowed())
             waiting = None
--- a/packages/hemlockreel/tests/forwarding/test_usage_caps.py
+++ b/packages/hemlockreel/tests/forwarding/test_usage_caps.py
@@ -14,6 +14,7 @@
 from hemlockreel.forwarding import active_deployment
 from hemlockreel.forwarding import deployments
 from hemlockreel.forwarding import organisations
+from hemlockreel.forwarding import usage_accounts
 from hemlockreel.forwarding import usage_bounds
 from hemlockreel.forwarding import usage_caps
 from hemlockreel.forwarding import usage_lending
@@ -285,6 +286,49 @@
     assert fleet.sum_used() == 3 * (part + 2000.0) <= fleet.allowed
 
 
+def test_a_loan_to_another_organisation_allows_no_request():
+    fleet = Fleet(3)
+    host = fleet.hosts[0]
+    for lender in fleet.hosts[1:]:
+        fleet.fabric.cut([host], [lender])
+    state = fleet.fabric.boards[host].state(usage_caps.State)
+    while not state.waiting:
+        fleet.ask(host, LARGE)
+        fleet.fabric.run(0.0)
+    used = len(fleet.used)
+    state.accounts["kvernhus"] = usage_accounts.Account()
+    loans = [messages.Loan("kvernhus", LARGE, LARGE, 1.0)]
+    for key, each in list(state.waiting.items()):
+        lent = messages.UsageLent(
+            sender=each.asked[-1], epoch=1, key=key, loans=loans
+        )
+        fleet.fabric.post(host, lent)
+    fleet.fabric.run(0.0)
+    assert len(fleet.used) == used
+
+
+def test_answers_to_an_earlier_run_are_not_taken_for_others():
+    keys = []
+    fleet = Fleet(12)
+    host = fleet.hosts[0]
+    for epoch in (1, 2):
+        fleet.start(host, epoch)
+        fleet.fabric.sent[host].clear()
+        fleet.fabric.run(4.0)
+        for _ in range(20):
+            fleet.ask(host, LARGE)
+        fleet.fabric.run(0.5)
+        keys.append(
+            {
+                each.message.key
+                for each in fleet.fabric.sent[host]
+                if isinstance(each.message, messages.UsageAsked)
+            }
+        )
+    assert all(keys)
+    assert not keys[0] & keys[1]
+
+
 def test_the_last_host_has_the_whole_cap_once_others_are_forgotten():
     fleet = Fleet(3)
     for host in fleet.hosts[1:]:
