Forget lenders and organisations that have left

What a host had seen of lenders, which of them were silent and the accounts of organisations without a cap were kept until it ended.

The new test failed before; the tests of caps of the core, the daemon and the platform pass.

--- a/packages/hemlockreel/hemlockreel/forwarding/usage_caps.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/usage_caps.py
@@ -483,9 +483,33 @@
             yield from _return_lease(board, account, name, now)
     if now >= state.next_top_up:
         state.next_top_up = now + TOP_UP_PERIOD_S
+        _prune(board, now)
         yield from _top_up(board, now)
 
 
+def _prune(board: boards.Board, now: float) -> None:
+    """Forgets hosts and organisations that have left.
+
+    A new account begins with something in hand, so one that was used in the
+    last window is kept.
+    """
+    state = board.state(State)
+    for host, until in list(state.silent_until.items()):
+        if until <= now:
+            del state.silent_until[host]
+    window_s = board.state(usage_lending.State).limits.window_s
+    waiting = {each.request.organisation for each in state.waiting.values()}
+    for name, account in list(state.accounts.items()):
+        cap = usage_lending.find_cap(board, name)
+        if cap is not None:
+            if len(account.seen) > usage_bounds.LENDERS:
+                found = usage_lending.lenders(board, name, cap)
+                for host in set(account.seen).difference(found):
+                    del account.seen[host]
+        elif now - account.used_at > window_s and name not in waiting:
+            del state.accounts[name]
+
+
 def _top_up(board: boards.Board, now: float) -> Iterable[actions.Action]:
     """Asks for what was used of the spare amounts, in one message a lender."""
     state = board.state(State)
--- a/packages/hemlockreel/tests/forwarding/test_usage_caps.py
+++ b/packages/hemlockreel/tests/forwarding/test_usage_caps.py
@@ -329,6 +329,26 @@
     assert not keys[0] & keys[1]
 
 
+def test_hosts_and_organisations_that_left_are_forgotten():
+    fleet = Fleet(6)
+    host = fleet.hosts[0]
+    state = fleet.fabric.boards[host].state(usage_caps.State)
+    fleet.ask(host, LARGE)
+    fleet.fabric.run(0.5)
+    seen = state.accounts[NAME].seen
+    for number in range(8):
+        state.silent_until[f"gone{number}"] = fleet.fabric.now
+        seen[f"gone{number}"] = usage_accounts.Seen(1.0, 1.0, 0.0)
+    fleet.fabric.run(1.0)
+    assert len(seen) <= usage_bounds.LENDERS
+    assert not state.silent_until
+    fleet.configure(organisations.UsageCap())
+    fleet.fabric.run(LIMITS.window_s - 3.0)
+    assert state.accounts
+    fleet.fabric.run(4.0)
+    assert not state.accounts
+
+
 def test_the_last_host_has_the_whole_cap_once_others_are_forgotten():
     fleet = Fleet(3)
     for host in fleet.hosts[1:]:
