Divide a cap between as many hosts as can each lend a large request

Cause: since a lender lends no more than its part and a share of what all may owe. With three lenders a request above 11,700 tokens was refused for good under a cap of 15,000 a second, and one above 18,300 under 29,000; the users' requests have up to 20,360.

Change: three, two or one lender, so that each can lend 24,576 tokens.

The test of a full lender takes the number of lenders from the fleet now, as strict.

--- a/packages/hemlockreel/hemlockreel/forwarding/usage_bounds.py
+++ b/packages/hemlockreel/hemlockreel/forwarding/usage_bounds.py
@@ -11,10 +11,11 @@
 from . import organisations
 
 LENDERS = 3  # one that is silent leaves more than organisations usually use
-# A lender's part of the burst must hold a large request.
+# A lender's part of the burst must hold a large request, which no lender else
+# could ever lend: a long prompt with the longest answer.
 LARGE_COST = {
     organisations.Unit.REQUESTS: 1.0,
-    organisations.Unit.TOKENS: 8192.0,
+    organisations.Unit.TOKENS: 24_576.0,
 }
 
 # Shares of the room above the cap. A tenth is left for requests that are sent
@@ -60,12 +61,17 @@
 def lenders(limits: UsageLimits, cap: organisations.UsageCap) -> int:
     """Returns between how many hosts the cap is divided, if there are more.
 
-    >>> cap = organisations.UsageCap(29e3, 29e3, organisations.Unit.TOKENS)
-    >>> lenders(UsageLimits(slack=120e3), cap)
-    3
+    Each can lend a large request, if all together can.
+
+    >>> limits, tokens = UsageLimits(slack=120e3), organisations.Unit.TOKENS
+    >>> [
+    ...     lenders(limits, organisations.UsageCap(rate, rate, tokens))
+    ...     for rate in (5e3, 29e3, 112e3)
+    ... ]
+    [1, 2, 3]
     """
-    part = depth(limits, cap) / LENDERS
-    return LENDERS if part >= LARGE_COST[cap.unit] else 1
+    most = depth(limits, cap) + owed(limits, cap)
+    return min(LENDERS, max(1, int(most / LARGE_COST[cap.unit])))
 
 
 def depth(limits: UsageLimits, cap: organisations.UsageCap) -> float:
--- a/packages/hemlockreel/tests/forwarding/test_usage_caps.py
+++ b/packages/hemlockreel/tests/forwarding/test_usage_caps.py
@@ -279,11 +279,22 @@
 
 def test_a_full_lender_lends_a_request_above_its_part():
     fleet = Fleet(12, settle_s=12.0)
-    part = usage_bounds.depth(LIMITS, CAP) / usage_bounds.LENDERS
+    number = len(fleet.lenders())
+    part = usage_bounds.depth(LIMITS, CAP) / number
     for host in fleet.hosts:
         fleet.ask(host, part + 2000.0)
     fleet.fabric.run(0.3)
-    assert fleet.sum_used() == 3 * (part + 2000.0) <= fleet.allowed
+    assert fleet.sum_used() == number * (part + 2000.0) <= fleet.allowed
+
+
+@pytest.mark.parametrize("rate", [5e3, 15e3, 29e3, 60e3, 112e3])
+def test_the_largest_request_below_a_cap_is_lent(rate):
+    """A prompt of 11,000 tokens with the longest answer of 9,360."""
+    fleet = Fleet(12, cap=CAP._replace(rate=rate, burst=rate), settle_s=12.0)
+    fleet.ask(fleet.hosts[0], 20_360.0)
+    fleet.fabric.run(0.3)
+    assert not fleet.refused
+    assert fleet.sum_used() == 20_360.0
 
 
 def test_a_loan_to_another_organisation_allows_no_request():
@@ -329,6 +340,26 @@
     assert not keys[0] & keys[1]
 
 
+def test_hosts_and_organisations_that_left_are_forgotten():
+    fleet = Fleet(6)
+    host = fleet.hosts[0]
+    state = fleet.fabric.boards[host].state(usage_caps.State)
+    fleet.ask(host, LARGE)
+    fleet.fabric.run(0.5)
+    seen = state.accounts[NAME].seen
+    for number in range(8):
+        state.silent_until[f"gone{number}"] = fleet.fabric.now
+        seen[f"gone{number}"] = usage_accounts.Seen(1.0, 1.0, 0.0)
+    fleet.fabric.run(1.0)
+    assert len(seen) <= usage_bounds.LENDERS
+    assert not state.silent_until
+    fleet.configure(organisations.UsageCap())
+    fleet.fabric.run(LIMITS.window_s - 3.0)
+    assert state.accounts
+    fleet.fabric.run(4.0)
+    assert not state.accounts
+
+
 def test_the_last_host_has_the_whole_cap_once_others_are_forgotten():
     fleet = Fleet(3)
     for host in fleet.hosts[1:]:
