Streams go on at a replica that restarted with another version

Two replicas restart under their ids with new software and write their entries 0.3 s later. Streams that broke off go on at them, as only the listed entry is compared and born is never checked (ORDER), 22 to 24 of 24. The script failed 5 of 5 times and passed without the restarts.

--- a/review/rig2/replica.py
+++ b/review/rig2/replica.py
@@ -9,6 +9,7 @@
 import time
 
 MAC = "3e1b.07.5a2.600.0.c9f2a4d1"
+PROMPT_TOKENS_PER_S = 55_555.6
 
 
 class Replica:
@@ -70,12 +71,22 @@
             def handle_error(self, *_):
                 """Ignores callers that have left."""
 
-        self._server = Server((ip, 0), Handler)
+        self._make = lambda port: Server((ip, port), Handler)
+        self._listen(0)
         self.address = f"{ip}:{self._server.server_address[1]}"
+
+    def _listen(self, port):
+        self._server = self._make(port)
         threading.Thread(
-            target=self._server.serve_forever, daemon=True
+            target=self._server.serve_forever, args=(0.02,), daemon=True
         ).start()
 
+    def start_again(self, version):
+        """Starts again after :meth:`close`, under the id that it had."""
+        self.version = version
+        self.born = int(time.time() * 1000)
+        self._listen(int(self.address.rpartition(":")[2]))
+
     def entry(self):
         """Returns what the replica writes into the store."""
         found = {
@@ -122,6 +133,7 @@
                 return
             handle = f"{self.name}k{next(self._numbers)}"
             tokens = handler.headers["Hemlockreel-Token-Counts"].split(",")
+            time.sleep(int(tokens[0]) / PROMPT_TOKENS_PER_S)
             self._send_json(
                 handler,
                 200,
@@ -138,6 +150,7 @@
         return {
             "stage": self.stage,
             "models": [{"name": "m", "version": 1, "adapters": []}],
+            "born": self.born,
             "busy": False,
             "sequence": 0,
             "queued": 0,
