--- a/review/rig2/replica.py
+++ b/review/rig2/replica.py
@@ -29,6 +29,7 @@
         self.born = int(time.time() * 1000)
         self.state = "ready"
         self.work_s = 0.01
+        self.slots = 16
         self.extra = []
         self.arrivals = []
         self.runs = []
@@ -94,7 +95,7 @@
             "address": self.address,
             "zone": self.zone,
             "version": self.version,
-            "slots": 16,
+            "slots": self.slots,
             "state": self.state,
             "cold_remaining_ms": 0,
             "sequence": next(self._numbers),
