--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,6 +1,8 @@
-"""Streams go on at another software version; see claim.txt."""
+"""A stream runs at two replicas at the same time; see claim.txt."""
 
+import collections
 import http.client
+import itertools
 import os
 import pathlib
 import sys
@@ -19,79 +21,60 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MACHINES = 3
-STREAMS = 24
-DOWN_S = 0.2
-# From the start of a replica until it writes its entry; it writes there
-# about every 1.2 s.
-REGISTERS_S = 0.3
-MOST_JOINED = 2
+STREAMS = 100
+PER_S = 2.5
+SILENCE_S = 1.5
+# Silences are this far apart at least; one begins as a run does.
+CALM_S = 4.0
+ALLOWED_S = 0.4
 
 
-class Stream:
-    """One stream of one client, over its tries."""
+class Silences:
+    """Makes a replica silent now and then, as a run begins there."""
 
-    def __init__(self, site, number):
-        self.site = site
-        self.number = number
-        self.events = []
-        self.tries = []
+    def __init__(self):
+        self.begun = []
+        self._lock = threading.Lock()
+        self._next_at = time.monotonic() + CALM_S
 
-    def run(self):
-        """Reads the stream; takes it up once if it breaks off."""
-        first_id = ""
-        for attempt in range(2):
-            machine = self.site.daemons[(self.number + attempt) % MACHINES]
-            more = {}
-            if self.events:
-                last = str(self.events[-1][0])
-                more = {"Last-Event-Id": last, "Resumes": first_id}
-            request_id, status, is_whole = self._read(machine, more)
-            self.tries.append((request_id, machine.ip, status, is_whole))
-            first_id = first_id or request_id
-            if is_whole or status not in (200, 503, None):
-                return
+    def watch(self, found):
+        """Makes ``found`` silent now and then."""
+        found.begins = lambda request_id: self._begin(found, request_id)
 
-    def _read(self, machine, more):
-        request_id = client.new_id()
-        host, _, port = machine.listen["frontend"].rpartition(":")
-        link = http.client.HTTPConnection(host, int(port), timeout=5)
-        given = {
-            "Host": sites.HOST,
-            "Hemlockreel-Request-Id": request_id,
-            "Hemlockreel-Deadline-Ms": "14004",
-            "Hemlockreel-Model": "m",
-            "Hemlockreel-Token-Counts": "5200,70",
-            "Hemlockreel-Prompt-Prefix": f"5c1e07a2:200,{request_id}:5000",
-            **more,
-        }
-        status = None
-        try:
-            link.request("POST", "/review/1", body=b"{}", headers=given)
-            answer = link.getresponse()
-            status = answer.status
-            if status != 200:
-                answer.read()
-                return request_id, status, False
-            number = None
-            while line := answer.readline():
-                if line.startswith(b"id:"):
-                    number = int(line[3:])
-                elif line.startswith(b"data:"):
-                    self.events.append((number, line[5:].strip().decode()))
-            return request_id, status, True
-        except (OSError, http.client.HTTPException):
-            return request_id, status, False
-        finally:
-            link.close()
+    def _begin(self, found, request_id):
+        now = time.monotonic()
+        with self._lock:
+            if now < self._next_at:
+                return
+            self._next_at = now + SILENCE_S + CALM_S
+            self.begun.append((now, found.name, request_id))
+        found.silent_until = now + SILENCE_S
 
 
-def start_again(store, found):
-    """Replaces the software of a replica: it ends and starts again."""
-    found.close()
-    time.sleep(DOWN_S)
-    found.start_again("r2")
-    time.sleep(REGISTERS_S)
-    store.put("servers", found.name, found.entry())
+def send(machine, results):
+    """Sends a stream and reads it to its end."""
+    request_id = client.new_id()
+    host, _, port = machine.listen["frontend"].rpartition(":")
+    link = http.client.HTTPConnection(host, int(port), timeout=8)
+    given = {
+        "Host": sites.HOST,
+        "Hemlockreel-Request-Id": request_id,
+        "Hemlockreel-Deadline-Ms": "14004",
+        "Hemlockreel-Model": "m",
+        "Hemlockreel-Token-Counts": "5200,70",
+        "Hemlockreel-Prompt-Prefix": f"5c1e07a2:200,{request_id}:5000",
+    }
+    at = time.monotonic()
+    try:
+        link.request("POST", "/review/1", body=b"{}", headers=given)
+        answer = link.getresponse()
+        ids = [line for line in answer.read().split() if line == b"id:"]
+        found = f"{answer.status}, {len(ids)} events"
+    except (OSError, http.client.HTTPException) as error:
+        found = type(error).__name__
+    finally:
+        link.close()
+    results.append((at, f"{request_id} sent to {machine.ip}: {found}"))
 
 
 def main():
@@ -100,58 +83,65 @@
     store.put("config", "main", configuration.make())
     replicas = [
         replica.Replica(
-            f"i-{stage}-{zone}",
+            f"i-{number}",
             "lesar",
-            sites.ZONES[zone],
+            sites.ZONES[number % 3],
             "127.0.0.1",
-            stage,
-            "r1",
+            "decode" if number else "prefill",
         )
-        for stage, zone in (("prefill", 0), ("decode", 1), ("decode", 2))
+        for number in range(4)
     ]
+    # Most replicas drop a request when its channel closes; this one doesn't.
+    replicas[1].works_on = True
     for each in replicas:
         store.put("servers", each.name, each.entry())
+    results = []
     with sites.Site(store, MACHINES) as site:
-        time.sleep(4.0)
-        began = time.monotonic()
-        streams = [Stream(site, number) for number in range(STREAMS)]
-        threads = [threading.Thread(target=each.run) for each in streams]
-        for each in threads:
-            each.start()
-            time.sleep(0.03)
-        time.sleep(0.3)
+        time.sleep(3.0)
+        silences = Silences()
         if TROUBLE:
-            ends = [
-                threading.Thread(target=start_again, args=(store, each))
-                for each in replicas
-                if each.stage == "decode"
-            ]
-            for each in ends:
-                each.start()
-        for each in threads:
-            each.join(20)
-    joined = []
-    lines = []
-    for each in streams:
-        versions = sorted({version for _, version in each.events})
-        lines.append(
-            f"stream {each.number}: tries {each.tries}, versions {versions}, "
-            f"events {each.events}"
-        )
-        if len(versions) > 1:
-            joined.append(each)
+            silences.watch(replicas[1])
+        began = time.monotonic()
+        threads = []
+        for number in range(STREAMS):
+            machine = site.daemons[number % MACHINES]
+            thread = threading.Thread(target=send, args=(machine, results))
+            thread.start()
+            threads.append(thread)
+            time.sleep(1 / PER_S)
+        for thread in threads:
+            thread.join(15)
+        time.sleep(3.0)
+    runs = collections.defaultdict(list)
     for each in replicas:
-        for at, request_id, path in each.runs:
-            lines.append(
-                f"{at - began:8.3f} s  {each.name} runs {request_id} {path}"
-            )
+        ends = {found: at for at, found in each.ends}
+        for at, found, _ in each.runs:
+            runs[found].append((at, ends.get(found, at), each.name))
+    twice = []
+    lines = [(at, text) for at, text in results]
+    for at, name, found in silences.begun:
+        lines.append((at, f"{name} is silent for {SILENCE_S} s, {found}"))
+    for found, known in runs.items():
+        known.sort()
+        for begin, end, name in known:
+            lines.append((begin, f"{name} begins to run {found}"))
+            lines.append((end, f"{name} ends its run of {found}"))
+        for (_, end, first), (begin, _, second) in itertools.pairwise(known):
+            if end > begin + ALLOWED_S:
+                twice.append(found)
+                lines.append(
+                    (begin, f"{found} goes on at {second}, while {first} "
+                     f"works on it for {end - begin:.2f} s more")
+                )  # fmt: skip
     summary = (
-        f"{len(joined)} of {STREAMS} streams hold events from replicas of "
-        "two software versions"
+        f"{len(twice)} of {STREAMS} streams went on at another replica while "
+        f"the one before worked on them more than {ALLOWED_S} s later; "
+        f"{len(silences.begun)} silences"
     )
-    HERE.joinpath("record.txt").write_text("\n".join([summary, *lines, ""]))
+    text = [f"{at - began:8.3f} s  {each}" for at, each in sorted(lines)]
+    HERE.joinpath("record.txt").write_text("\n".join([summary, *text, ""]))
     print(summary)
-    return 1 if len(joined) > MOST_JOINED else 0
+    return 1 if twice else 0
 
 
 if __name__ == "__main__":
--- a/review/rig2/replica.py
+++ b/review/rig2/replica.py
@@ -17,7 +17,10 @@
 
     ``stage`` is ``None`` for a plain service. ``runs`` holds the time, the
     id and the method and path of each request that it ran. ``extra`` are
-    headers of all its answers. ``work_s`` is the time of a plain run.
+    headers of all its answers. ``work_s`` is the time of a plain run. It
+    writes nothing before ``silent_until``. With ``works_on`` a stream's run
+    goes on after its channel has closed. ``begins`` is called for each run
+    of a stream, and ``ends`` holds the time and the id of those that ended.
     """
 
     def __init__(self, name, service, zone, ip, stage=None, version="r1"):
@@ -30,6 +33,10 @@
         self.state = "ready"
         self.work_s = 0.01
         self.slots = 16
+        self.works_on = False
+        self.silent_until = 0.0
+        self.begins = lambda request_id: None
+        self.ends = []
         self.extra = []
         self.arrivals = []
         self.runs = []
@@ -116,6 +123,7 @@
 
     def answer(self, handler, body):
         """Answers one request."""
+        self._wait_in_silence()
         target = handler.headers.get("Hemlockreel-Target-Instance")
         if target not in (None, self.name):
             self._send_json(handler, 421, {})
@@ -178,9 +186,21 @@
         handler.end_headers()
         handler.wfile.write(self.body)
 
+    def _wait_in_silence(self):
+        while (left_s := self.silent_until - time.monotonic()) > 0:
+            time.sleep(left_s)
+
     def _run_stream(self, handler):
         request_id = self._note(handler)
+        self.begins(request_id)
+        try:
+            self._write_stream(handler, request_id)
+        finally:
+            self.ends.append((time.monotonic(), request_id))
+
+    def _write_stream(self, handler, request_id):
         first = int(handler.headers.get("Last-Event-Id") or 0) + 1
+        self._wait_in_silence()
         handler.send_response(200)
         handler.send_header("Hemlockreel-Request-Id", request_id)
         handler.send_header("Hemlockreel-Response-Signature", MAC)
@@ -192,8 +212,13 @@
         handler.end_headers()
         for number in range(first, self.events + 1):
             time.sleep(self.event_s)
+            self._wait_in_silence()
             data = f"id: {number}\ndata: {self.version}\n\n".encode()
-            handler.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+            try:
+                handler.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+            except OSError:
+                if not self.works_on:
+                    raise
         handler.wfile.write(b"0\r\n\r\n")
 
     def _send_json(self, handler, status, body):
--- a/review/rig2/site.py
+++ b/review/rig2/site.py
@@ -67,7 +67,7 @@
 class Daemon:
     """One machine with its process."""
 
-    def __init__(self, site, number, ip, ports, seeds, more):
+    def __init__(self, site, number, ip, ports, seeds, more, store=None):
         self.site = site
         self.number = number
         self.ip = ip
@@ -78,6 +78,7 @@
         }
         self.ports = ports
         self.more = more
+        self.store = store
         self.seeds = seeds
         self.process = None
         self.started_at = 0.0
@@ -118,7 +119,7 @@
             "fault_tolerance.zones": "0",
             "fault_tolerance.regions": "0",
             **{f"bounds.{name}": each for name, each in BOUNDS.items()},
-            "platform.address": self.site.store.address,
+            "platform.address": self.store or self.site.store.address,
             "platform.form": "objects",
             "platform.writes_per_s": "400",
             "platform.reads_per_s": "2000",
@@ -176,20 +177,26 @@
 
 
 class Site:
-    """The store and some machines; ends all processes at the end."""
+    """The store and some machines; ends all processes at the end.
+
+    ``doors`` are addresses of the store, one for each machine, if they call
+    it at different ones.
+    """
 
-    def __init__(self, store, machines, seeds=None, more=None, bases=None):
+    def __init__(self, store, machines, seeds=None, more=None, doors=()):
         self.store = store
         self._temporary = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(self._temporary.name)
-        ips = bases or [f"127.0.1.{n + 1}" for n in range(machines)]
+        ips = [f"127.0.1.{n + 1}" for n in range(machines)]
         ports = find_ports(ips, 6)
         self.control_port = ports[2]
         given = seeds if seeds is not None else ips[:3]
         self.seeds = [f"{ip}:{ports[2]}" for ip in given]
         self.daemons = [
-            Daemon(self, number, ip, ports, self.seeds, more or {})
-            for number, ip in enumerate(ips)
+            Daemon(self, number, ip, ports, self.seeds, more or {}, *door)
+            for number, (ip, *door) in enumerate(
+                zip(ips, doors, strict=True) if doors else zip(ips)
+            )
         ]
 
     def __enter__(self):
--- a/review/rig2/store.py
+++ b/review/rig2/store.py
@@ -37,7 +37,9 @@
             def _answer(self):
                 size = int(self.headers.get("Content-Length") or 0)
                 body = json.loads(self.rfile.read(size)) if size else {}
-                status, text = store.respond(self.command, self.path, body)
+                status, text = store.respond_at(
+                    self.server.server_port, self.command, self.path, body
+                )
                 data = text.encode()
                 self.send_response(status)
                 self.send_header("Content-Type", "application/json")
@@ -56,11 +58,14 @@
             def handle_error(self, *_):
                 """Ignores callers that have left."""
 
-        self._server = Server((ip, 0), Handler)
-        self.address = f"{ip}:{self._server.server_address[1]}"
-        threading.Thread(
-            target=self._server.serve_forever, daemon=True
-        ).start()
+        self._make = lambda: Server((ip, 0), Handler)
+        self.address = f"{ip}:{self.listen()}"
+
+    def listen(self):
+        """Opens one more port; returns it."""
+        found = self._make()
+        threading.Thread(target=found.serve_forever, daemon=True).start()
+        return found.server_port
 
     def put(self, kind, name, specification=None, text=None):
         """Writes an object; returns the time of the confirmation."""
@@ -74,6 +79,10 @@
             self._remove(kind, name)
             return time.monotonic()
 
+    def respond_at(self, port, method, target, body):
+        """Returns the answer to a call that came at ``port``."""
+        return self.respond(method, target, body)
+
     def respond(self, method, target, body):
         """Returns status and text of the answer to a call."""
         path, _, query = target.partition("?")
@@ -148,6 +157,10 @@
         )
 
     def _write(self, kind, name, text):
+        known = self.objects.get((kind, name))
+        if known is not None and known[2] == text:
+            # A PUT that changes nothing doesn't raise the revision.
+            return known[1]
         self.revision += 1
         meta = {
             "name": name,
@@ -160,7 +173,7 @@
             f'{{"metadata":{json.dumps(meta)},"specification":{text},'
             '"status":null}'
         )
-        self.objects[kind, name] = self.revision, whole
+        self.objects[kind, name] = self.revision, whole, text
         self.history.append((self.revision, kind, False, whole))
         self.changed.notify_all()
         return whole
