--- a/standins/hemlockreel_standins/platform_replica.py
+++ b/standins/hemlockreel_standins/platform_replica.py
@@ -39,7 +39,8 @@
 
     ``mode`` selects the response to the following requests: ``whole`` is the
     correct one, and each mode has a method named ``_answer_<mode>``.
-    ``status`` and ``body`` are the content of the response, ``event_gap_s`` is
+    ``status`` and ``body`` are the content of the response, ``bodies`` holds
+    other bodies by the target of the request, ``event_gap_s`` is
     the time between the events of a stream, ``work_s`` the time of a slow
     response. ``stage`` is the serving stage of
     an engine, ``None`` for a plain service; ``memory`` is the number of tokens
@@ -56,6 +57,7 @@
         self.mode = "whole"
         self.status = 200
         self.body = b"the answer"
+        self.bodies: dict[str, bytes] = {}
         self.event_gap_s = 0.01
         self.work_s = 1.0
         self.memory = 100_000
@@ -198,8 +200,9 @@
         return "\r\n".join([*found, *lines, "", ""]).encode()
 
     def _answer_whole(self, arrival: Arrival) -> Iterable[bytes]:
-        length = f"Content-Length: {len(self.body)}"
-        yield self._head(arrival, length) + self.body
+        body = self.bodies.get(arrival.target, self.body)
+        length = f"Content-Length: {len(body)}"
+        yield self._head(arrival, length) + body
 
     def _answer_slow(self, arrival: Arrival) -> Iterable[bytes]:
         """Sends the correct response after some work."""
--- a/standins/hemlockreel_standins/platform_site.py
+++ b/standins/hemlockreel_standins/platform_site.py
@@ -82,6 +82,7 @@
         }
         operators, paths = processes.free_port(), processes.free_port()
         self.operators = f"127.0.0.1:{operators}"
+        self.paths = f"127.0.0.1:{paths}"
         self.settings = folder / f"settings-{number}.conf"
         self.log = folder / f"daemon-{number}.log"
         lines = [
