Receive bodies in segments that are unmapped when they are freed

200 callers of endless chunks drove a daemon of 96 MB to 110 MB of its own pages while its account held 24 MB for callers.

Cause: a body grew in one buffer, whose sizes up to 128 KiB come from the heap, beside a part of 64 KiB for each thread that waits for bytes. Nearly 200 of them growing side by side left the heap at 30 MB and the second one at 21 MB, from 8 and 0 (smaps), with gaps that the allocator can't give back. A part was counted after it had been received.

Change: a body is received right into segments of 128 KiB, which the C library maps one by one, after a first one of 8 KiB; a segment is counted before it is allocated, as it is filled with zeros. The views that exceptions refer to are released. The total of the account is kept instead of summed for each part.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/caller_bodies.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/caller_bodies.py
@@ -5,11 +5,11 @@
 share a part of the processor.
 """
 
-import io
 import re
 import threading
 import time
 
+from . import body_buffer
 from . import caller_limits
 from . import caller_memory
 from . import caller_reader
@@ -18,7 +18,6 @@
 SIZE = re.compile(rb"[ \t]*([0-9A-Fa-f]{1,16})[ \t]*(?:;.*)?\r?\n", re.DOTALL)
 # Bytes of lines for each byte of data; a chunk of one byte has 5 of them.
 LINES_PER_BYTE = 16
-COUNT_STEP = 16 * 1024  # of a body, between two notes of its size
 SMALL_CHUNK_BYTES = 64
 CHUNKS_IN_TURN = 256
 PAUSE_SHARE = 3.0  # of the processor time that small chunks have taken
@@ -77,7 +76,6 @@
         self._length = length
         self._limit = limit
         self._line_limit = line_limit
-        self._counted = 0
         self.is_read = length == 0
         self._is_begun = False
 
@@ -101,43 +99,52 @@
             raise caller_limits.MalformedBody("the length is negative")
         self._is_begun = True
         self._caller.begin_body()
+        found = body_buffer.BodyBuffer(self._length)
         try:
-            with io.BytesIO() as found:
-                if self._length is None:
-                    self._read_chunks(found, limit)
-                    self._read_trailers()
-                else:
-                    self._read_bytes(found, self._length)
-                body = found.getvalue()
+            if self._length is None:
+                self._read_chunks(found, limit)
+                self._read_trailers()
+            else:
+                self._read_bytes(found, self._length)
             self._caller.begin_run()
         except caller_limits.Refused as refused:
-            self._caller.release()
+            self._forget(found)
             self._caller.note_refusal(refused)
             raise
         except TimeoutError:
-            self._caller.release()
+            self._forget(found)
             late = caller_limits.Refused(408, "time", "the body is late")
             self._caller.note_refusal(late)
             raise late from None
         except OSError as error:
-            self._caller.release()
+            self._forget(found)
             raise caller_limits.MalformedBody(str(error)) from error
-        self._caller.held += len(body)
+        self._caller.held += found.size
         self.is_read = True
-        return body
-
-    def _read_bytes(self, found: io.BytesIO, size: int) -> None:
-        end = found.tell() + size
-        while (left := end - found.tell()) > 0:
-            part = self._reader.read_part(left)
-            if not part:
+        return found.take()
+
+    def _forget(self, found: body_buffer.BodyBuffer) -> None:
+        found.clear()
+        self._caller.release()
+
+    def _read_bytes(self, found: body_buffer.BodyBuffer, size: int) -> None:
+        end = found.size + size
+        while (left := end - found.size) > 0:
+            if found.is_full:
+                self._count_next(found)
+            # A view that an exception refers to would keep the segment.
+            with found.room(left) as room:
+                count = self._reader.read_into(room)
+            if not count:
                 raise caller_limits.MalformedBody("the body is incomplete")
-            found.write(part)
-            if found.tell() >= self._counted + COUNT_STEP:
-                self._counted = found.tell()
-                self._caller.resize(self._caller.held + self._counted)
+            found.add(count)
+
+    def _count_next(self, found: body_buffer.BodyBuffer) -> None:
+        """Counts the next segment before it is allocated."""
+        held = self._caller.held + found.size + found.next_bytes
+        self._caller.resize(held)
 
-    def _read_chunks(self, found: io.BytesIO, limit: int) -> None:
+    def _read_chunks(self, found: body_buffer.BodyBuffer, limit: int) -> None:
         lines = chunks = 0
         began_s = 0.0
         try:
@@ -147,7 +154,7 @@
                 if not size:
                     return
                 lines += len(line) + 2
-                end = found.tell() + size
+                end = found.size + size
                 if end > limit:
                     raise caller_limits.Refused(
                         413, "body", f"the body is over {limit} bytes"
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/caller_reader.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/caller_reader.py
@@ -1,13 +1,15 @@
 """Reads a caller's connection, with no more than one part in memory."""
 
-import io
+from collections.abc import Callable
 import socket
+from typing import TypeVar
 
 from . import caller_memory
 
-PART_BYTES = 64 * 1024
 LINE_PART_BYTES = 8 * 1024
 
+_Received = TypeVar("_Received")
+
 
 class Reader:
     """The reading side of a connection, as the HTTP server uses a file."""
@@ -35,27 +37,34 @@
                 return self._take(end - self._at)
             if len(self._rest) - self._at >= size:
                 return self._take(size)
-            data = self._receive(LINE_PART_BYTES)
+            data = self._receive(lambda: self._sock.recv(LINE_PART_BYTES))
             if not data:
                 return self._take(size)
             self._rest = self._rest[self._at :] + data
             self._at = 0
 
-    def read_part(self, size: int) -> bytes:
-        """Returns up to ``size`` bytes, none at the connection's end."""
+    def read_into(self, room: memoryview) -> int:
+        """Reads into ``room``; returns how much, 0 at the connection's end."""
         if self.has_data():
-            return self._take(size)
-        return self._receive(min(size, PART_BYTES))
+            taken = self._take(len(room))
+            room[: len(taken)] = taken
+            return len(taken)
+        count = self._receive(lambda: self._sock.recv_into(room))
+        self.bytes_read += count
+        return count
 
     def read(self, size: int) -> bytes:
         """Returns ``size`` bytes, fewer at the connection's end."""
         if self._at + size <= len(self._rest):
             return self._take(size)
-        with io.BytesIO() as found:
-            while size and (part := self.read_part(size)):
-                found.write(part)
-                size -= len(part)
-            return found.getvalue()
+        found = bytearray(size)
+        filled = 0
+        while filled < size:
+            count = self.read_into(memoryview(found)[filled:])
+            if not count:
+                break
+            filled += count
+        return bytes(found[:filled])
 
     def close(self) -> None:
         """Forgets what wasn't read."""
@@ -72,14 +81,14 @@
             self._at = 0
         return taken
 
-    def _receive(self, size: int) -> bytes:
+    def _receive(self, receive: Callable[[], _Received]) -> _Received:
         while True:
             try:
-                data = self._sock.recv(size)
+                found = receive()
             except TimeoutError:
                 # The socket's own timeout may be that of an earlier response.
                 if self._caller.is_late():
                     raise
             else:
                 self._caller.note_bytes()
-                return data
+                return found
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/response_memory.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/response_memory.py
@@ -30,7 +30,8 @@
     """The memory of all responses; ``limit`` is in bytes.
 
     ``choose`` returns which one of several is given up, or ``None``, which
-    gives up the one that grows. ``base`` is what else counts, in bytes.
+    gives up the one that grows. ``base`` is what else counts, in bytes, and
+    ``total`` the bytes of all responses.
 
     >>> budget = Budget(200_000)
     >>> ours, theirs = socket.socketpair()
@@ -53,13 +54,9 @@
         self._choose = choose
         self._changed = threading.Condition()
         self._sizes: dict[Holding, int] = {}
+        self.total = 0
         self._given_up: set[Holding] = set()
 
-    @property
-    def total(self) -> int:
-        """The bytes of all responses that are counted."""
-        return sum(self._sizes.values())
-
     def hold(self, sock: socket.socket) -> "Holding":
         """Returns what accounts for a response that is read from ``sock``."""
         return Holding(self, sock)
@@ -71,6 +68,7 @@
         threads have released them.
         """
         with self._changed:
+            self.total += size - self._sizes.get(holding, 0)
             self._sizes[holding] = size
             while (
                 holding not in self._given_up
@@ -96,7 +94,7 @@
     def release(self, holding: "Holding") -> None:
         """Forgets a response."""
         with self._changed:
-            self._sizes.pop(holding, None)
+            self.total -= self._sizes.pop(holding, 0)
             self._given_up.discard(holding)
             self._changed.notify_all()
 
--- a/packages/hemlockreel-daemon/tests/test_caller_bodies.py
+++ b/packages/hemlockreel-daemon/tests/test_caller_bodies.py
@@ -32,6 +32,14 @@
             self._parts.insert(0, part[size:])
         return part[:size]
 
+    def recv_into(self, room):
+        part = self.recv(len(room))
+        room[: len(part)] = part
+        return len(part)
+
+    def setsockopt(self, *option):
+        pass
+
     def shutdown(self, how):
         pass
 
