Bound what the kernel receives ahead of callers' connections

The pages count bytes that were received and not read yet toward the memory of a machine. 200 callers had the kernel hold 25 to 68 MB for a daemon of 96 MB, and 200 that left after half a body 210 MB, and no answer reached an ordinary caller.

Cause: the kernel grows the receive buffer of each connection by itself, from 128 KiB up to several MB, also of connections that wait for a thread.

Change: listeners have a receive buffer of 8 KiB, which their connections have too; the kernel then keeps 12 KiB (tried on loopback). For a body over 8 KiB it is raised to 64 KiB while less than half of the callers' memory is held, counted as 128 KiB, and lowered after the request.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/caller_bodies.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/caller_bodies.py
@@ -141,6 +141,8 @@
 
     def _count_next(self, found: body_buffer.BodyBuffer) -> None:
         """Counts the next segment before it is allocated."""
+        if found.size:
+            self._caller.widen()
         held = self._caller.held + found.size + found.next_bytes
         self._caller.resize(held)
 
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/caller_memory.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/caller_memory.py
@@ -19,10 +19,16 @@
 from typing import Protocol
 
 from . import caller_limits
+from . import caller_sockets
 from . import clock
 from . import response_memory
+from . import tcp_states
 
-CONNECTION_BYTES = 16 * 1024  # of its objects and buffers
+# Of the objects of a connection, and of what the system receives ahead.
+CONNECTION_BYTES = 16 * 1024
+WIDE_BYTES = 2 * caller_sockets.WIDE_RECEIVE_BUFFER_BYTES
+# Of the limit: while less is held, long bodies are received faster.
+WIDE_SHARE = 0.5
 # A caller that is silent for longer may be given up if its room is needed.
 SILENCE_S = 1.0
 # The same if its thread is needed, and the time of a request that is received
@@ -68,6 +74,7 @@
         self.reads_head = True
         self.ended: caller_limits.Refused | None = None
         self.held = 0  # bytes of the head and the complete body
+        self._is_wide = False
         self._is_new = True  # waits for a thread for the first time
 
     def begin(self, has_bytes: bool) -> bool:
@@ -88,6 +95,27 @@
         self.began_at = clock.now()
         self.reads_head = False
 
+    def widen(self) -> None:
+        """Lets the system receive more ahead, unless there is little room."""
+        if self._is_wide or not self._account.has_much_room():
+            return
+        self._is_wide = True
+        self.held += WIDE_BYTES
+        caller_sockets.set_receive_buffer(
+            self._sock, caller_sockets.WIDE_RECEIVE_BUFFER_BYTES
+        )
+
+    def _narrow(self) -> None:
+        """Undoes :meth:`widen`; what was received meanwhile still counts."""
+        self._is_wide = False
+        caller_sockets.set_receive_buffer(
+            self._sock, caller_sockets.RECEIVE_BUFFER_BYTES
+        )
+        unread = tcp_states.unread_bytes(self._sock)
+        if unread > caller_sockets.RECEIVE_BUFFER_BYTES:
+            self.held = unread
+            self._is_counted = self._budget.grow(self, unread)
+
     def check(self) -> None:
         """Raises if the caller was given up."""
         if self.ended is not None:
@@ -130,6 +158,8 @@
     def finish(self) -> None:
         """Notes that the request has ended."""
         self.release()
+        if self._is_wide:
+            self._narrow()
         self.active_at = clock.now()
         with self._account.lock:
             self.phase = Phase.IDLE
@@ -259,6 +289,11 @@
     def _set_base(self) -> None:
         self.budget.base = len(self._callers) * CONNECTION_BYTES
 
+    def has_much_room(self) -> bool:
+        """Returns whether less than a certain part of the limit is held."""
+        budget = self.budget
+        return budget.base + budget.total < WIDE_SHARE * budget.limit
+
     def sweep(self) -> None:
         """Gives up callers that are late, and silent ones to free threads.
 
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/caller_sockets.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/caller_sockets.py
@@ -15,6 +15,10 @@
 USER_TIMEOUT_MS = 3000  # for data that the peer doesn't acknowledge
 WRITE_TIMEOUT_S = 3.0  # for a caller that doesn't read
 SEND_BUFFER_BYTES = 16 * 1024
+# What the system receives ahead of the reads of a connection; it may keep up
+# to twice as much. The wide one is for a long body while it is read.
+RECEIVE_BUFFER_BYTES = 8 * 1024
+WIDE_RECEIVE_BUFFER_BYTES = 64 * 1024
 DISCONNECT_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 
 
@@ -69,6 +73,15 @@
     return bool(poll.poll(0))
 
 
+def set_receive_buffer(sock: socket.socket, size: int) -> None:
+    """Limits what the system receives ahead; of a listener, for all callers.
+
+    It counts as memory of the process and may arrive on all connections.
+    """
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+
 def configure(sock: socket.socket) -> None:
     """Sets timeouts so that dead and slow callers are detected.
 
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/exchanges.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/exchanges.py
@@ -233,7 +233,7 @@
 
     def start(self) -> None:
         """Binds the address and starts to serve in background threads."""
-        self._server.prepare()
+        servers.prepare(self._server)
         threading.Thread(
             target=self._server.serve, name="exchanges", daemon=True
         ).start()
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/servers.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/servers.py
@@ -19,6 +19,7 @@
 from . import caller_limits
 from . import caller_memory
 from . import caller_reader
+from . import caller_sockets
 
 SOCKET_KEY = "hemlockreel.socket"
 LINES_KEY = "hemlockreel.header_lines"
@@ -179,6 +180,17 @@
     found.account.add_listener(found, count_waiting)
 
 
+def prepare(found: server.HTTPServer) -> None:
+    """Binds the address of a server.
+
+    Raises :class:`OSError` if that is impossible.
+    """
+    found.prepare()
+    caller_sockets.set_receive_buffer(
+        found.socket, caller_sockets.RECEIVE_BUFFER_BYTES
+    )
+
+
 class _Gateway(wsgi.Gateway_10):
     """Passes the socket and the raw header lines in the WSGI environment."""
 
@@ -226,7 +238,7 @@
 
         Raises :class:`OSError` if the address can't be bound.
         """
-        self._server.prepare()
+        prepare(self._server)
         threading.Thread(
             target=self._server.serve, name="server", daemon=True
         ).start()
