Forget closed connections without a collection of cycles

Cause: the HTTP server gives each connection two caches of its own methods, which refer to it. A closed one stayed in memory until the collector had found it, with what its reader and writer held; callers that come again make many of them.

Change: the caches, which nothing uses, are deleted.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/servers.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/servers.py
@@ -144,6 +144,9 @@
             return make_file(of, mode, size)
 
         super().__init__(parent, sock, make)
+        # The caches of these refer to the connection, which would then stay in
+        # memory after its end until the next collection of cycles.
+        del self.resolve_peer_creds, self.get_peer_creds
 
     def communicate(self):
         """Reads a request and responds; true if another one may follow."""
