Give threads only to connections that have sent something

300 silent callers at the directory's or the readiness' listener, who came again when they were closed, shut ordinary callers out: no address and no readiness in three tries.

Cause: a new connection went to a thread at once, which waited for its first byte. The directory has 8 threads, so a connection with a request waited behind the silent ones until they had been silent for 0.5 s each, and meanwhile counted as silent itself and made way for new ones.

Change: a new connection waits for its first bytes with the idle ones, without a thread. One that has bytes is queued, as a phase of its own.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/caller_memory.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/caller_memory.py
@@ -48,9 +48,13 @@
 
 
 class Phase(enum.Enum):
-    """What a connection is used for."""
+    """What a connection is used for.
+
+    A queued one has sent bytes that no thread has read yet.
+    """
 
     IDLE = "idle"
+    QUEUED = "queued"
     READING = "reading"
     RUNNING = "running"
     WRITING = "writing"
@@ -70,23 +74,30 @@
         self.listener = listener
         self.phase = Phase.IDLE
         self.active_at = clock.now()
-        self.began_at: float | None = None
+        self.began_at = self.active_at
         self.reads_head = True
         self.ended: caller_limits.Refused | None = None
         self.held = 0  # bytes of the head and the complete body
         self._is_wide = False
-        self._is_new = True  # waits for a thread for the first time
 
-    def begin(self, has_bytes: bool) -> bool:
-        """Notes that a request is read; ``has_bytes`` if a part is there.
+    def queue(self) -> bool:
+        """Notes that a request has begun to arrive and waits for a thread.
 
         Returns false if the connection was given up.
         """
         self.active_at = clock.now()
-        self.began_at = self.active_at if has_bytes else None
+        with self._account.lock:
+            self.phase = Phase.QUEUED
+            return self.ended is None
+
+    def begin(self) -> bool:
+        """Notes that a request is read.
+
+        Returns false if the connection was given up.
+        """
+        self.active_at = self.began_at = clock.now()
         self.reads_head = True
         with self._account.lock:
-            self._is_new = False
             self.phase = Phase.READING
             return self.ended is None
 
@@ -125,8 +136,6 @@
         """Notes that bytes were received."""
         self.check()
         self.active_at = clock.now()
-        if self.began_at is None:
-            self.began_at = self.active_at
 
     def is_late(self) -> bool:
         """Returns whether nothing was received for the listener's timeout."""
@@ -189,11 +198,11 @@
             if self.ended is not None or self.phase is Phase.RUNNING:
                 return False
             self.ended = why
-            is_new = self._is_new
-            if is_new:
+            is_queued = self.phase is Phase.QUEUED
+            if is_queued:
                 # No thread uses it, and the next one to do so may come late.
                 self._sock.close()
-        if is_new:
+        if is_queued:
             self._account.leave(self)
         else:
             # A refusal can still be written to one that sends a request.
@@ -262,7 +271,7 @@
         waiting = [
             each
             for each in callers
-            if each.phase in (Phase.IDLE, Phase.READING)
+            if each.phase in (Phase.IDLE, Phase.QUEUED, Phase.READING)
         ]
         if not waiting:
             return False
@@ -308,7 +317,7 @@
             ]
         for each in reading:
             limit_s = self.head_s if each.reads_head else self.limits.body_s
-            if each.began_at is not None and now > each.began_at + limit_s:
+            if now > each.began_at + limit_s:
                 each.end(
                     caller_limits.Refused(408, "time", "the request is late")
                 )
@@ -328,9 +337,7 @@
         slow = [
             each
             for each in reading
-            if each not in silent
-            and each.began_at is not None
-            and now > each.began_at + THREAD_AGE_S
+            if each not in silent and now > each.began_at + THREAD_AGE_S
         ]
         slow.sort(key=lambda each: each.began_at)
         for each in [*silent, *slow][:waiting]:
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/exchanges.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/exchanges.py
@@ -195,7 +195,7 @@
                 """Responds to the request."""
                 handler(Exchange(self.req))
 
-        self._server = cheroot.HTTPServer(
+        self._server = servers.HTTPServer(
             (host, int(port)),
             gateway=Gateway,
             minthreads=threads,
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/servers.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/servers.py
@@ -78,8 +78,7 @@
             super().parse_request()
         except caller_limits.Refused as refused:
             self.ready = False
-            if self.conn.caller.began_at is not None:
-                self.refuse(refused)
+            self.refuse(refused)
 
     def refuse(self, refused: caller_limits.Refused) -> None:
         """Responds that a limit was met, and closes the connection."""
@@ -151,7 +150,7 @@
     def communicate(self):
         """Reads a request and responds; true if another one may follow."""
         try:
-            if not self.caller.begin(self.last_used is not None):
+            if not self.caller.begin():
                 return False
             return super().communicate()
         finally:
@@ -167,6 +166,30 @@
             self.server.account.leave(self.caller)
 
 
+class Listener:
+    """The part of a server that accepts connections.
+
+    Only those that have sent something occupy a thread.
+    """
+
+    def process_conn(self, conn: Connection) -> None:
+        """Queues a connection for a thread once it has bytes to read."""
+        if conn.last_used is None:
+            self.put_conn(conn)
+        elif conn.caller.queue():
+            super().process_conn(conn)
+        else:
+            conn.close()
+
+
+class HTTPServer(Listener, server.HTTPServer):
+    """An HTTP server without an application."""
+
+
+class _WsgiServer(Listener, wsgi.Server):
+    """An HTTP server of a WSGI application."""
+
+
 def configure(
     found: server.HTTPServer, account: caller_memory.Account | None
 ) -> None:
@@ -225,7 +248,7 @@
         account: caller_memory.Account | None = None,
     ):
         host, _, port = address.rpartition(":")
-        self._server = wsgi.Server(
+        self._server = _WsgiServer(
             (host, int(port)),
             application,
             numthreads=threads,
--- a/packages/hemlockreel-daemon/tests/test_caller_bodies.py
+++ b/packages/hemlockreel-daemon/tests/test_caller_bodies.py
@@ -48,7 +48,7 @@
     """Returns the body, and what follows it."""
     sock = Parts(parts)
     caller = caller_memory.Account().admit(sock, LISTENER)
-    caller.begin(True)
+    caller.begin()
     reader = caller_reader.Reader(sock, caller)
     body = caller_bodies.Body(reader, caller, length, LIMIT, LINE_LIMIT)
     return body.read(), reader.readline(100)
@@ -117,7 +117,7 @@
     ours, theirs = socket.socketpair()
     account = caller_memory.Account()
     caller = account.admit(ours, LISTENER)
-    caller.begin(True)
+    caller.begin()
     reader = caller_reader.Reader(ours, caller)
     body = caller_bodies.Body(reader, caller, 10**6, 10**6, LINE_LIMIT)
     with ours, theirs:
--- a/packages/hemlockreel-daemon/tests/test_caller_memory.py
+++ b/packages/hemlockreel-daemon/tests/test_caller_memory.py
@@ -37,7 +37,7 @@
         """Returns a caller of whose request ``size`` bytes were received."""
         self.now = self.now if at is None else at
         found = self.open()
-        found.begin(True)
+        found.begin()
         found.resize(size)
         return found
 
@@ -86,7 +86,7 @@
 
 def test_unread_answers_count_and_the_slowest_caller_gives_way(callers):
     slow = callers.open()
-    slow.begin(True)
+    slow.begin()
     slow.begin_run()
     slow.begin_write(8 * MB)
     callers.now = 0.9
@@ -116,7 +116,7 @@
     callers.account.limits = caller_limits.Limits(10 * MB, 3)
     first, second = callers.open(), callers.open()
     callers.now = 1.0
-    first.begin(True)
+    first.begin()
     first.finish()
     callers.open()
     callers.open()
@@ -127,7 +127,7 @@
     callers.account.limits = caller_limits.Limits(10 * MB, 2)
     for _ in range(2):
         each = callers.open()
-        each.begin(True)
+        each.begin()
         each.begin_run()
     with pytest.raises(ConnectionAbortedError):
         callers.open()
