Let busy connections make way for a caller that waits for its first answer

80 callers that had 20 requests in a row sent on each connection shut out ordinary callers at all listeners: resets in three tries. 300 that sent requests for addresses in a row had readiness checks fail.

Cause: with all connections that the limit leaves running or queued, none was chosen to go, and a new one was closed without a byte. The one that had been silent for the longest time was an ordinary caller as often as not, as bytes that had arrived and waited for a thread counted as silence. Answers that nobody reads kept their connections and threads.

Change: what gives way is, in this order, a connection without bytes to read, a request that has paused for 50 ms, an answer of which nothing is taken for 1 s, and the connection with the most answers for its age. That one ends after its present answer, so nothing that runs is lost. A connection that waits for its first answer stays. If all do, the new one gets 503 with Retry-After. Unread answers free threads too, and are written in parts of 16 KiB, which are held twice.

Tried before and dropped: to let all queued requests stay, which failed directory_unread and ready_unread (a pipeline is always queued).

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/caller_memory.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/caller_memory.py
@@ -31,6 +31,8 @@
 WIDE_SHARE = 0.5
 # A caller that is silent for longer may be given up if its room is needed.
 SILENCE_S = 1.0
+# The same if its connection is needed while it sends a request.
+PAUSE_S = 0.05
 # The same if its thread is needed, and the time of a request that is received
 # in small parts until then.
 THREAD_SILENCE_S = 0.5
@@ -39,6 +41,13 @@
 # which some of these are closed.
 OPEN_PER_ADMITTED = 1.5
 CLOSING_S = 0.5
+MIN_AGE_S = 0.001  # of a connection, to compare it with others
+TURNED_AWAY = (
+    b"HTTP/1.1 503 Service Unavailable\r\n"
+    b"Retry-After: 1\r\n"
+    b"Content-Length: 0\r\n"
+    b"Connection: close\r\n\r\n"
+)
 
 
 class Listener(Protocol):
@@ -78,6 +87,9 @@
         self.reads_head = True
         self.ended: caller_limits.Refused | None = None
         self.held = 0  # bytes of the head and the complete body
+        self.opened_at = self.active_at
+        self.served = 0  # requests
+        self.retires = False
         self._is_wide = False
 
     def queue(self) -> bool:
@@ -141,6 +153,22 @@
         """Returns whether nothing was received for the listener's timeout."""
         return clock.now() >= self.active_at + self.listener.timeout
 
+    def answers_per_s(self, now: float) -> float:
+        """Returns how many of its requests were answered, by time."""
+        return self.served / max(now - self.opened_at, MIN_AGE_S)
+
+    def has_unread_bytes(self) -> bool:
+        """Returns whether bytes have arrived that no thread has read."""
+        return tcp_states.unread_bytes(self._sock) > 0
+
+    def is_paused(self, now: float) -> bool:
+        """Returns whether nothing has arrived for a moment."""
+        return now > self.active_at + PAUSE_S
+
+    def is_unread(self, now: float) -> bool:
+        """Returns whether nothing of its answer was taken for a while."""
+        return self.phase is Phase.WRITING and now > self.active_at + SILENCE_S
+
     def begin_run(self) -> None:
         """Notes that the request is complete; it isn't given up any more."""
         with self._account.lock:
@@ -171,6 +199,8 @@
             self._narrow()
         self.active_at = clock.now()
         with self._account.lock:
+            if self.phase in (Phase.RUNNING, Phase.WRITING):
+                self.served += 1
             self.phase = Phase.IDLE
 
     def release(self) -> None:
@@ -244,8 +274,8 @@
     def admit(self, sock: socket.socket, listener: Listener) -> Caller:
         """Returns the holder for a new connection.
 
-        One that has been silent makes way for it if there are too many. Raises
-        ``ConnectionAbortedError`` if there is none.
+        Another one makes way for it if there are too many. Raises
+        ``ConnectionAbortedError`` if none can.
         """
         most = min(
             self.limits.connections,
@@ -256,9 +286,13 @@
                 lambda: len(self._callers) < most * OPEN_PER_ADMITTED,
                 CLOSING_S,
             )
-            open_now = [each for each in self._callers if each.ended is None]
+            open_now = [
+                each
+                for each in self._callers
+                if each.ended is None and not each.retires
+            ]
         is_full = len(open_now) >= most
-        if not has_room or (is_full and not self._end_oldest(open_now)):
+        if not has_room or (is_full and not self._make_way(open_now)):
             self._turn_away(sock)
         found = Caller(self, sock, listener)
         with self.lock:
@@ -266,21 +300,39 @@
             self._set_base()
         return found
 
-    def _end_oldest(self, callers: list[Caller]) -> bool:
-        """Gives up the caller that has been silent for the longest time."""
-        waiting = [
-            each
-            for each in callers
-            if each.phase in (Phase.IDLE, Phase.QUEUED, Phase.READING)
-        ]
-        if not waiting:
-            return False
-        oldest = min(waiting, key=lambda each: each.active_at)
-        return oldest.end(
-            caller_limits.Refused(408, "connections", "too many connections")
+    def _make_way(self, callers: list[Caller]) -> bool:
+        """Gives up a caller, or keeps one from sending another request.
+
+        The first is the one that has been silent for the longest time, the
+        next the one that has had the most requests answered for its age. One
+        that waits for its first answer stays.
+        """
+        now = clock.now()
+        reading = [each for each in callers if each.phase is Phase.READING]
+        paused = [each for each in reading if each.is_paused(now)]
+        unread = [each for each in callers if each.is_unread(now)]
+        silent = (
+            _longest_silent([e for e in callers if e.phase is Phase.IDLE])
+            or _longest_silent(paused)
+            or min(unread, key=_active_at, default=None)
         )
+        if silent is not None:
+            return silent.end(_too_many())
+        answered = [each for each in callers if each.served]
+        if not answered:
+            found = min(reading, key=_active_at, default=None)
+            return found is not None and found.end(_too_many())
+        busiest = max(answered, key=lambda each: each.answers_per_s(now))
+        if busiest.phase is Phase.QUEUED:
+            return busiest.end(_too_many())
+        busiest.retires = True
+        self.report("connections")
+        return True
 
     def _turn_away(self, sock: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            sock.setblocking(False)
+            sock.send(TURNED_AWAY)
         sock.close()
         self.report("connections")
         raise ConnectionAbortedError(
@@ -310,11 +362,8 @@
         """
         now = clock.now()
         with self.lock:
-            reading = [
-                each
-                for each in self._callers
-                if each.phase is Phase.READING and each.ended is None
-            ]
+            callers = [each for each in self._callers if each.ended is None]
+        reading = [each for each in callers if each.phase is Phase.READING]
         for each in reading:
             limit_s = self.head_s if each.reads_head else self.limits.body_s
             if now > each.began_at + limit_s:
@@ -324,12 +373,14 @@
         for listener, count_waiting in self._listeners.items():
             waiting = count_waiting()
             if waiting:
-                here = [each for each in reading if each.listener is listener]
+                here = [each for each in callers if each.listener is listener]
                 self._free_threads(here, waiting, now)
 
     def _free_threads(
-        self, reading: list[Caller], waiting: int, now: float
+        self, callers: list[Caller], waiting: int, now: float
     ) -> None:
+        reading = [each for each in callers if each.phase is Phase.READING]
+        unread = [each for each in callers if each.is_unread(now)]
         silent = [
             each for each in reading if now > each.active_at + THREAD_SILENCE_S
         ]
@@ -340,7 +391,8 @@
             if each not in silent and now > each.began_at + THREAD_AGE_S
         ]
         slow.sort(key=lambda each: each.began_at)
-        for each in [*silent, *slow][:waiting]:
+        unread.sort(key=lambda each: each.active_at)
+        for each in [*silent, *unread, *slow][:waiting]:
             each.end(
                 caller_limits.Refused(
                     408, "threads", "the request arrived too slowly"
@@ -348,6 +400,29 @@
             )
 
 
+def _active_at(caller: Caller) -> float:
+    return caller.active_at
+
+
+def _longest_silent(callers: list[Caller]) -> Caller | None:
+    """Returns the one of ``callers`` that was silent for the longest time.
+
+    One whose bytes wait to be read isn't silent.
+    """
+    return next(
+        (
+            each
+            for each in sorted(callers, key=_active_at)
+            if not each.has_unread_bytes()
+        ),
+        None,
+    )
+
+
+def _too_many() -> caller_limits.Refused:
+    return caller_limits.Refused(408, "connections", "too many connections")
+
+
 def _no_room() -> caller_limits.Refused:
     return caller_limits.Refused(503, "memory", "no room for the request")
 
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/exchanges.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/exchanges.py
@@ -27,7 +27,7 @@
 MAX_BODY_BYTES = 4 * 2**20  # if nothing else is configured
 MIN_IDLE_THREADS = 8  # for requests until the next check
 THREADS_PER_GROWTH = 16  # threads added at a check
-PART_BYTES = 64 * 1024  # of a body that are written at once
+PART_BYTES = 16 * 1024  # of a body that are written at once
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # linger for no time
 
 
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/servers.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/servers.py
@@ -123,6 +123,8 @@
 
         The connection is closed after it if much of the body is left.
         """
+        if self.conn.caller.retires:
+            self.close_connection = True
         body = self.rfile
         if not body.is_read and not 0 < body.remaining <= DRAINED_BYTES:
             self.close_connection = True
@@ -152,7 +154,7 @@
         try:
             if not self.caller.begin():
                 return False
-            return super().communicate()
+            return super().communicate() and not self.caller.retires
         finally:
             self.caller.finish()
 
--- a/packages/hemlockreel-daemon/tests/test_caller_memory.py
+++ b/packages/hemlockreel-daemon/tests/test_caller_memory.py
@@ -166,3 +166,84 @@
     callers.now = 9.0
     callers.account.sweep()
     assert other.ended is None
+
+
+def test_connection_whose_bytes_wait_is_not_the_silent_one(callers):
+    callers.account.limits = caller_limits.Limits(10 * MB, 2)
+    early = callers.open()
+    callers.opened[1].sendall(b"GET / HTTP/1.1\r\n")
+    callers.now = 1.0
+    silent = callers.open()
+    callers.open()
+    assert (early.ended, limit_of(silent)) == (None, "connections")
+
+
+def test_request_that_arrives_gives_way_if_it_pauses(callers):
+    callers.account.limits = caller_limits.Limits(10 * MB, 2)
+    paused, queued = callers.read(1), callers.open()
+    assert queued.queue()
+    callers.now = caller_memory.PAUSE_S + 0.01
+    callers.open()
+    assert (limit_of(paused), queued.ended) == ("connections", None)
+
+
+def serve(caller, count):
+    for _ in range(count):
+        caller.begin()
+        caller.begin_run()
+        caller.finish()
+
+
+def test_caller_of_many_requests_in_a_row_is_the_last_served(callers):
+    """An ordinary caller comes while pipelines use all connections."""
+    callers.account.limits = caller_limits.Limits(10 * MB, 2)
+    one, many = callers.open(), callers.open()
+    for each, count in ((one, 1), (many, 20)):
+        serve(each, count)
+        each.begin()
+        each.begin_run()
+    new = callers.open()
+    assert (one.retires, many.retires, new.ended) == (False, True, None)
+    assert many.ended is None
+    assert callers.reported == ["connections"]
+
+
+def test_next_request_of_a_pipeline_is_not_read_if_it_waits(callers):
+    callers.account.limits = caller_limits.Limits(10 * MB, 1)
+    many = callers.open()
+    serve(many, 20)
+    assert many.queue()
+    callers.open()
+    assert limit_of(many) == "connections"
+    assert not many.begin()
+
+
+def test_unread_answer_makes_way_for_connections_and_threads(callers):
+    callers.account.limits = caller_limits.Limits(10 * MB, 2)
+    slow, unread = callers.open(), callers.open()
+    for each in (slow, unread):
+        each.begin()
+        each.begin_run()
+        each.begin_write(1)
+    callers.now = 1.1
+    slow.note_written()
+    callers.account.add_listener(callers.listener, lambda: 2)
+    callers.account.sweep()
+    assert (slow.ended, limit_of(unread)) == (None, "threads")
+    callers.account.leave(unread)
+    callers.now = 2.2
+    assert callers.open().queue()
+    callers.open()
+    assert limit_of(slow) == "connections"
+
+
+def test_connection_that_is_turned_away_gets_an_answer(callers):
+    callers.account.limits = caller_limits.Limits(10 * MB, 1)
+    found = callers.open()
+    found.begin()
+    found.begin_run()
+    with pytest.raises(ConnectionAbortedError):
+        callers.open()
+    answer = callers.opened[-1].recv(1000)
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert b"Retry-After: 1\r\n" in answer
