Keep room for an answer before its request runs

Cause: a request was let in if its head and body had room, and its answer asked for room only when it was there. If nobody was silent or still sent a request, the one that asked, the answer, was given up.

Change: before a plain request runs, room is kept for an answer of its service's mean size. Without room it gets 503 with Retry-After, which is true: it has not run. The mean, not the largest, is kept, as the answers that are held at a moment add up to it; services of short answers reserve nothing that is counted.

An answer far above the mean, and the first ones after a start, can still be dropped.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/caller_memory.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/caller_memory.py
@@ -176,6 +176,19 @@
                 raise self.ended.copy()
             self.phase = Phase.RUNNING
 
+    def reserve(self, size: int) -> None:
+        """Keeps room for an answer of about ``size`` bytes.
+
+        Raises :class:`caller_limits.Refused` if there is none, also for a
+        request that is complete; it must not run then.
+        """
+        try:
+            self.resize(self.held + size)
+        except caller_limits.Refused as refused:
+            self.release()
+            self.note_refusal(refused)
+            raise
+
     def begin_write(self, size: int) -> None:
         """Notes that an answer of ``size`` bytes is held for the caller."""
         self.active_at = clock.now()
--- /dev/null
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/answer_sizes.py
@@ -0,0 +1,27 @@
+"""Estimates the sizes of answers, so that room is kept before requests run."""
+
+SHARE = 1 / 16  # of the newest answer in the mean
+
+
+class AnswerSizes:
+    """The mean sizes of the answers of services, in bytes.
+
+    The answers that are held at a moment have about the sum of their means.
+
+    >>> sizes = AnswerSizes()
+    >>> sizes.note("bookings", 1600)
+    >>> sizes.expect("bookings"), sizes.expect("stock")
+    (1600, 0)
+    """
+
+    def __init__(self):
+        self._means: dict[str, float] = {}
+
+    def note(self, service: str, size: int) -> None:
+        """Notes the size of an answer."""
+        mean = self._means.get(service, size)
+        self._means[service] = mean + SHARE * (size - mean)
+
+    def expect(self, service: str) -> int:
+        """Returns the mean size, 0 before the first answer."""
+        return int(self._means.get(service, 0))
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/exchanges.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/exchanges.py
@@ -32,11 +32,15 @@
 
 
 class Exchange:
-    """One request of a caller and the response to it."""
+    """One request of a caller and the response to it.
+
+    ``reply_bytes`` is the size of the body of a complete response.
+    """
 
     def __init__(self, request: cheroot.HTTPRequest):
         self._request = request
         self._is_aborted = False
+        self.reply_bytes = 0
 
     @property
     def caller(self) -> socket.socket:
@@ -69,6 +73,10 @@
         except caller_limits.MalformedBody:
             return None
 
+    def reserve(self, size: int) -> None:
+        """Keeps room for a response; raises :class:`caller_limits.Refused`."""
+        self._request.conn.caller.reserve(size)
+
     def reply(
         self, status: int, headers: Iterable[tuple[str, str]], body: bytes
     ) -> bool:
@@ -80,6 +88,7 @@
         if self.has_started:
             self.abort()
             return False
+        self.reply_bytes = len(body)
         try:
             self._request.conn.caller.begin_write(len(body))
         except caller_limits.Refused as refused:
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
@@ -39,6 +39,7 @@
 from .. import logs
 from .. import servers
 from .. import settings
+from . import answer_sizes
 from . import connector
 from . import exchanges
 from . import generation
@@ -137,6 +138,7 @@
             ),
         )
         self._tools = request_handler.Tools(self.daemon, backends, callers)
+        self._answer_sizes = answer_sizes.AnswerSizes()
         self._active = 0
         self._is_closed = False
         self._received_at = clock.now()
@@ -438,7 +440,14 @@
         self, exchange: exchanges.Exchange, job: request_handler.Job
     ) -> None:
         daemon = self.daemon
-        daemon.loop.post(replica_selection.RequestReceived(job.service.name))
+        service = job.service.name
+        if job.service.engine is None:
+            try:
+                exchange.reserve(self._answer_sizes.expect(service))
+            except caller_limits.Refused as refused:
+                self._refuse_limited(exchange, refused)
+                return
+        daemon.loop.post(replica_selection.RequestReceived(service))
         key = daemon.new_id()
         with (
             daemon.track_request(key, exchange.caller) as box,
@@ -456,6 +465,8 @@
             try:
                 handler.serve()
             finally:
+                if handler.outcome == "answered":
+                    self._answer_sizes.note(service, exchange.reply_bytes)
                 seconds = clock.now() - job.arrived
                 daemon.metrics.count(
                     "requests", 1, ("forwarded", handler.outcome)
--- a/packages/hemlockreel-daemon/tests/test_caller_memory.py
+++ b/packages/hemlockreel-daemon/tests/test_caller_memory.py
@@ -247,3 +247,30 @@
     answer = callers.opened[-1].recv(1000)
     assert answer.startswith(b"HTTP/1.1 503 ")
     assert b"Retry-After: 1\r\n" in answer
+
+
+def test_answer_has_room_that_was_kept_before_its_request_ran(callers):
+    """Callers read slowly while others send, as in review/7."""
+    runs = callers.read(4 * MB)
+    runs.held = 4 * MB
+    runs.begin_run()
+    runs.reserve(4 * MB)
+    with pytest.raises(caller_limits.Refused):
+        callers.read(3 * MB)
+    runs.begin_write(4 * MB)
+    assert runs.ended is None
+
+
+def test_request_without_room_for_its_answer_does_not_run(callers):
+    slow = callers.read(MB)
+    slow.begin_run()
+    slow.begin_write(8 * MB)
+    found = callers.read(MB)
+    found.held = MB
+    found.begin_run()
+    with pytest.raises(caller_limits.Refused) as refused:
+        found.reserve(4 * MB)
+    assert refused.value.status == 503
+    assert callers.reported == ["memory"]
+    found.begin_write(100)
+    assert (found.ended, slow.ended) == (None, None)
