--- a/packages/hemlockreel-daemon/hemlockreel_daemon/caller_memory.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/caller_memory.py
@@ -165,8 +165,8 @@
         """Returns whether nothing has arrived for a moment."""
         return now > self.active_at + PAUSE_S
 
-    def is_unread(self, now: float) -> bool:
-        """Returns whether nothing of its answer was taken for a while."""
+    def takes_nothing(self, now: float) -> bool:
+        """Returns whether it has taken nothing of its answer for a while."""
         return self.phase is Phase.WRITING and now > self.active_at + SILENCE_S
 
     def begin_run(self) -> None:
@@ -323,11 +323,11 @@
         now = clock.now()
         reading = [each for each in callers if each.phase is Phase.READING]
         paused = [each for each in reading if each.is_paused(now)]
-        unread = [each for each in callers if each.is_unread(now)]
+        untaken = [each for each in callers if each.takes_nothing(now)]
         silent = (
             _longest_silent([e for e in callers if e.phase is Phase.IDLE])
             or _longest_silent(paused)
-            or min(unread, key=_active_at, default=None)
+            or min(untaken, key=_active_at, default=None)
         )
         if silent is not None:
             return silent.end(_too_many())
@@ -393,7 +393,7 @@
         self, callers: list[Caller], waiting: int, now: float
     ) -> None:
         reading = [each for each in callers if each.phase is Phase.READING]
-        unread = [each for each in callers if each.is_unread(now)]
+        untaken = [each for each in callers if each.takes_nothing(now)]
         silent = [
             each for each in reading if now > each.active_at + THREAD_SILENCE_S
         ]
@@ -404,8 +404,8 @@
             if each not in silent and now > each.began_at + THREAD_AGE_S
         ]
         slow.sort(key=lambda each: each.began_at)
-        unread.sort(key=lambda each: each.active_at)
-        for each in [*silent, *unread, *slow][:waiting]:
+        untaken.sort(key=lambda each: each.active_at)
+        for each in [*silent, *untaken, *slow][:waiting]:
             each.end(
                 caller_limits.Refused(
                     408, "threads", "the request arrived too slowly"
