Keep room for answers by the mean of their route

Cause: the mean was that of the service, so a crowd at one route made requests of all routes ask for room for large answers.

Change: the mean is that of the route.

--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/answer_sizes.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/answer_sizes.py
@@ -4,24 +4,24 @@
 
 
 class AnswerSizes:
-    """The mean sizes of the answers of services, in bytes.
+    """The mean sizes of the answers of routes, in bytes.
 
     The answers that are held at a moment have about the sum of their means.
 
     >>> sizes = AnswerSizes()
-    >>> sizes.note("bookings", 1600)
-    >>> sizes.expect("bookings"), sizes.expect("stock")
+    >>> sizes.note("lookups", 1600)
+    >>> sizes.expect("lookups"), sizes.expect("deposits")
     (1600, 0)
     """
 
     def __init__(self):
         self._means: dict[str, float] = {}
 
-    def note(self, service: str, size: int) -> None:
+    def note(self, route: str, size: int) -> None:
         """Notes the size of an answer."""
-        mean = self._means.get(service, size)
-        self._means[service] = mean + SHARE * (size - mean)
+        mean = self._means.get(route, size)
+        self._means[route] = mean + SHARE * (size - mean)
 
-    def expect(self, service: str) -> int:
+    def expect(self, route: str) -> int:
         """Returns the mean size, 0 before the first answer."""
-        return int(self._means.get(service, 0))
+        return int(self._means.get(route, 0))
--- a/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
+++ b/packages/hemlockreel-daemon/hemlockreel_daemon/forwarding/forwarder.py
@@ -443,7 +443,7 @@
         service = job.service.name
         if job.service.engine is None:
             try:
-                exchange.reserve(self._answer_sizes.expect(service))
+                exchange.reserve(self._answer_sizes.expect(job.route.name))
             except caller_limits.Refused as refused:
                 self._refuse_limited(exchange, refused)
                 return
@@ -466,7 +466,9 @@
                 handler.serve()
             finally:
                 if handler.outcome == "answered":
-                    self._answer_sizes.note(service, exchange.reply_bytes)
+                    self._answer_sizes.note(
+                        job.route.name, exchange.reply_bytes
+                    )
                 seconds = clock.now() - job.arrived
                 daemon.metrics.count(
                     "requests", 1, ("forwarded", handler.outcome)
--- a/packages/hemlockreel-daemon/tests/forwarding/test_answer_sizes.py
+++ b/packages/hemlockreel-daemon/tests/forwarding/test_answer_sizes.py
@@ -1,4 +1,4 @@
-"""The mean follows the answers of a service, not single large ones."""
+"""The mean follows the answers of a route, not single large ones."""
 
 from hemlockreel_daemon.forwarding import answer_sizes
 
@@ -10,7 +10,7 @@
     assert 100 <= sizes.expect("mixed") < 400_000
 
 
-def test_services_are_apart_and_a_change_is_followed():
+def test_routes_are_apart_and_a_change_is_followed():
     sizes = answer_sizes.AnswerSizes()
     sizes.note("one", 1000)
     for _ in range(100):
